--- /dev/null
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/admission.py
@@ -0,0 +1,64 @@
+"""Decide whether a request may wait for room, or is refused at once."""
+
+from dataclasses import dataclass
+
+from bilberry_core.const import MS_PER_SECOND
+
+from .const import MIN_QUEUE_RATE_PER_S, MIN_RETRY_AFTER_MS, QUEUE_RATE_WEIGHT
+
+RATE_SPAN_MS = 500
+
+
+@dataclass(slots=True)
+class StartRate:
+    """Follow how many queued requests of a service start a second."""
+
+    per_s: float = 0.0
+    span_from_ms: int = 0
+    span_count: int = 0
+
+    def note(self, now_ms: int) -> None:
+        """Count a request that got room."""
+        self.roll(now_ms)
+        self.span_count += 1
+
+    def roll(self, now_ms: int) -> None:
+        """Close a span that is over."""
+        length_ms = now_ms - self.span_from_ms
+        if length_ms < RATE_SPAN_MS:
+            return
+        rate = self.span_count * MS_PER_SECOND / length_ms
+        if self.per_s == 0.0:
+            self.per_s = rate
+        else:
+            self.per_s += QUEUE_RATE_WEIGHT * (rate - self.per_s)
+        self.span_from_ms = now_ms
+        self.span_count = 0
+
+    def wait_ms(self, ahead: int, now_ms: int) -> int:
+        """Return how long a request behind `ahead` others should wait.
+
+        No wait is expected until a rate has been measured.
+        """
+        self.roll(now_ms)
+        if self.per_s == 0.0:
+            return 0
+        rate = max(self.per_s, MIN_QUEUE_RATE_PER_S)
+        return int((ahead + 1) * MS_PER_SECOND / rate)
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """Refuse a request; it may come back after `retry_after_ms`."""
+
+    retry_after_ms: int
+
+
+def admit(wait_ms: int, left_ms: int, work_ms: float) -> Refusal | None:
+    """Return None when the wait leaves time enough for the work.
+
+    `left_ms` is the time until the caller gets its final answer anyway.
+    """
+    if wait_ms + work_ms <= left_ms:
+        return None
+    return Refusal(max(MIN_RETRY_AFTER_MS, wait_ms))
--- /dev/null
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
@@ -0,0 +1,182 @@
+"""Choose the upstream at which a request is expected to end first.
+
+Answers uneven regions and waves of load: own and peers' requests tell which
+upstreams have room, the object's key which of them work fast, and a region
+that is short of room spills into others before a queue builds up.
+"""
+
+from collections.abc import Callable, Collection, Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+
+from bilberry_core.ids import rendezvous_order
+
+from .cold_turns import ColdTurns
+from .const import (
+    COLD_WORK_FACTOR,
+    OTHER_REGION_MS,
+    OTHER_REGION_RESERVE,
+    SAME_DOMAIN_MS,
+    SAME_REGION_MS,
+)
+from .peer_loads import PeerLoads
+from .upstream import Upstream
+from .work_times import Warmth, WorkTimes
+
+MAX_CACHED_ORDERS = 4_096
+BALANCE_MS = 10.0
+
+RegionFilter = Callable[[list[str], int], list[str]]
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    """Name the failure domain and region of a node."""
+
+    failure_domain: str
+    region: str
+
+
+@dataclass(slots=True, frozen=True)
+class Need:
+    """Describe what a request needs of its upstream.
+
+    `excluded` names upstreams that it was sent to before. An empty
+    `home_regions` allows every region.
+    """
+
+    service: str
+    key: str
+    work: WorkTimes
+    home_regions: frozenset[str] = frozenset()
+    excluded: Collection[str] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Choice:
+    """Hold the chosen upstream and how long its work should take, in ms."""
+
+    upstream: Upstream
+    warmth: Warmth
+    expected_ms: float
+
+
+class NoChoice(StrEnum):
+    """Say why no upstream was chosen."""
+
+    NO_ROOM = "no room"
+    NO_UPSTREAM = "no upstream"
+
+
+class Chooser:
+    """Choose upstreams for one node; pools map services to upstreams."""
+
+    __slots__ = ("cold_turns", "loads", "orders", "place", "pools")
+
+    def __init__(
+        self,
+        place: Place,
+        pools: dict[str, dict[str, Upstream]],
+        loads: PeerLoads,
+        cold_turns: ColdTurns,
+    ) -> None:
+        self.place = place
+        self.pools = pools
+        self.loads = loads
+        self.cold_turns = cold_turns
+        self.orders: dict[tuple[str, str], list[str]] = {}
+
+    def choose(
+        self,
+        need: Need,
+        usable: Callable[[Upstream], bool],
+        allowed: RegionFilter,
+        now_ms: int,
+    ) -> Choice | NoChoice:
+        """Return the cheapest upstream with room, or why there is none."""
+        pool = self.pools.get(need.service, {})
+        fitting = [u for u in pool.values() if usable(u) and _fits(u, need)]
+        if not fitting:
+            return NoChoice.NO_UPSTREAM
+        regions = allowed(sorted({u.spec.region for u in fitting}), now_ms)
+        best: Choice | None = None
+        best_cost = 0.0
+        for choice, cost in self._offers(need, fitting, regions, now_ms):
+            if best is None or cost < best_cost:
+                best, best_cost = choice, cost
+        return best or NoChoice.NO_ROOM
+
+    def forget_orders(self) -> None:
+        """Drop the cached orders; call when a pool changes."""
+        self.orders.clear()
+
+    def _offers(
+        self, need: Need, fitting: list[Upstream], regions: list[str], now_ms: int
+    ) -> Iterator[tuple[Choice, float]]:
+        firsts = self._first_ranks(need)
+        for upstream in fitting:
+            if upstream.spec.region not in regions:
+                continue
+            if not self._has_room(upstream, now_ms):
+                continue
+            warmth = _warmth(upstream, need.key, firsts, now_ms)
+            expected_ms = need.work.expected_ms(warmth)
+            expected_ms *= upstream.slow_factor(now_ms)
+            if upstream.is_cold(now_ms):
+                expected_ms *= COLD_WORK_FACTOR
+            load = upstream.load(self.loads.at(upstream.name), now_ms)
+            cost = expected_ms + self._distance_ms(upstream)
+            cost += BALANCE_MS * load / upstream.spec.slots
+            yield Choice(upstream, warmth, expected_ms), cost
+
+    def _has_room(self, upstream: Upstream, now_ms: int) -> bool:
+        if upstream.is_blocked(now_ms):
+            return False
+        if upstream.is_cold(now_ms) and not self.cold_turns.is_due(upstream, now_ms):
+            return False
+        slots: float = upstream.spec.slots
+        if upstream.spec.region != self.place.region:
+            slots *= 1 - OTHER_REGION_RESERVE
+        return upstream.load(self.loads.at(upstream.name), now_ms) + 1 <= slots
+
+    def _distance_ms(self, upstream: Upstream) -> float:
+        if upstream.spec.failure_domain == self.place.failure_domain:
+            return SAME_DOMAIN_MS
+        if upstream.spec.region == self.place.region:
+            return SAME_REGION_MS
+        return OTHER_REGION_MS
+
+    def _first_ranks(self, need: Need) -> set[str]:
+        """Return, for each failure domain, the key's first upstream."""
+        if not need.key:
+            return set()
+        pool = self.pools[need.service]
+        domains: set[str] = set()
+        firsts: set[str] = set()
+        for name in self._order(need.service, need.key):
+            domain = pool[name].spec.failure_domain
+            if domain not in domains:
+                domains.add(domain)
+                firsts.add(name)
+        return firsts
+
+    def _order(self, service: str, key: str) -> list[str]:
+        cached = self.orders.get((service, key))
+        if cached is None:
+            if len(self.orders) >= MAX_CACHED_ORDERS:
+                self.orders.clear()
+            cached = rendezvous_order(key, self.pools[service])
+            self.orders[service, key] = cached
+        return cached
+
+
+def _fits(upstream: Upstream, need: Need) -> bool:
+    if upstream.name in need.excluded:
+        return False
+    return not need.home_regions or upstream.spec.region in need.home_regions
+
+
+def _warmth(upstream: Upstream, key: str, firsts: set[str], now_ms: int) -> Warmth:
+    if not key or upstream.is_warm(key, now_ms):
+        return Warmth.KNOWN
+    return Warmth.FIRST_RANK if upstream.name in firsts else Warmth.OTHER_RANK
--- /dev/null
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -0,0 +1,153 @@
+"""What a node knows of one upstream; times in monotonic ms."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from .const import (
+    FAILURES_TO_BLOCK,
+    FIRST_BLOCK_MS,
+    MAX_BLOCK_MS,
+    MAX_SLOW_RATIO,
+    REPORT_FRESH_MS,
+    SHED_BLOCK_MS,
+    SHEDS_TO_BLOCK,
+    SLOW_FROM_RATIO,
+    SLOW_HALF_LIFE_MS,
+    SLOW_WEIGHT,
+    WARM_MEMORY_KEYS,
+    WARM_MEMORY_MS,
+)
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamSpec:
+    """Describe one incarnation of an upstream as it registered itself.
+
+    `born_ms` is the wall time of its start, in Unix ms.
+    """
+
+    name: str
+    service: str
+    address: str
+    failure_domain: str
+    region: str
+    slots: int
+    born_ms: int = 0
+
+
+@dataclass(slots=True)
+class Upstream:
+    """Hold a node's own view of one upstream.
+
+    `others_load` is what other nodes have in flight there, by its newest
+    report. `unreachable` is set from a failed dial until the next answer.
+    """
+
+    spec: UpstreamSpec
+    draining: bool = False
+    cold_until_ms: int = 0
+    next_turn_ms: int = 0
+    in_flight: int = 0
+    others_load: int = 0
+    reported_at_ms: int = -REPORT_FRESH_MS
+    failures: int = 0
+    sheds: int = 0
+    unreachable: bool = False
+    blocked_until_ms: int = 0
+    slow_ratio: float = 1.0
+    slow_at_ms: int = 0
+    warm_keys: OrderedDict[str, int] = field(default_factory=OrderedDict)
+
+    @property
+    def name(self) -> str:
+        """Return the upstream's name."""
+        return self.spec.name
+
+    def is_cold(self, now_ms: int) -> bool:
+        """Tell whether it tolerates only a small rate."""
+        return now_ms < self.cold_until_ms
+
+    def is_blocked(self, now_ms: int) -> bool:
+        """Tell whether failures keep requests away from it.
+
+        After the block one request at a time tries it.
+        """
+        if now_ms < self.blocked_until_ms:
+            return True
+        return self.unreachable and self.in_flight > 0
+
+    def load(self, peers_load: int, now_ms: int) -> int:
+        """Return the requests it has from all nodes, as far as known."""
+        if now_ms - self.reported_at_ms < REPORT_FRESH_MS:
+            return self.in_flight + self.others_load
+        return self.in_flight + peers_load
+
+    def on_report(self, running: int, waiting: int, now_ms: int) -> None:
+        """Take a report of its load; this node's requests are not done."""
+        self.others_load = max(0, running + waiting - self.in_flight)
+        self.reported_at_ms = now_ms
+
+    def on_answer(self, cold_start_ms: int, now_ms: int) -> None:
+        """Note a whole answer; one that was unreachable has restarted."""
+        self.failures = 0
+        self.sheds = 0
+        if self.unreachable:
+            self.unreachable = False
+            self.cold_until_ms = max(self.cold_until_ms, now_ms + cold_start_ms)
+
+    def on_shed(self, has_room: bool, now_ms: int) -> None:
+        """Note a shed request; with room left, the upstream is at fault."""
+        if not has_room:
+            self.others_load = max(self.others_load, self.spec.slots)
+            self.reported_at_ms = now_ms
+            return
+        self.sheds += 1
+        if self.sheds >= SHEDS_TO_BLOCK:
+            self.blocked_until_ms = now_ms + SHED_BLOCK_MS
+
+    def on_failure(self, now_ms: int) -> None:
+        """Note an answer that was lost or spoiled."""
+        self.failures += 1
+        if self.failures >= FAILURES_TO_BLOCK:
+            self._block(self.failures - FAILURES_TO_BLOCK, now_ms)
+
+    def on_unreachable(self, now_ms: int) -> None:
+        """Note a connection that could not be made."""
+        self.unreachable = True
+        self.failures += 1
+        self.warm_keys.clear()
+        self._block(self.failures - 1, now_ms)
+
+    def on_work(self, ratio: float, now_ms: int) -> None:
+        """Note how long an answer took, as a ratio of the usual time."""
+        known = self.slowness(now_ms)
+        bounded = min(ratio, MAX_SLOW_RATIO)
+        self.slow_ratio = known + SLOW_WEIGHT * (bounded - known)
+        self.slow_at_ms = now_ms
+
+    def slowness(self, now_ms: int) -> float:
+        """Return its ratio to the usual time; old knowledge fades."""
+        age_ms = now_ms - self.slow_at_ms
+        excess = (self.slow_ratio - 1.0) * 0.5 ** (age_ms / SLOW_HALF_LIFE_MS)
+        return 1.0 + excess
+
+    def slow_factor(self, now_ms: int) -> float:
+        """Return by how much to expect longer work, 1 in the usual range."""
+        ratio = self.slowness(now_ms)
+        return ratio if ratio >= SLOW_FROM_RATIO else 1.0
+
+    def is_warm(self, key: str, now_ms: int) -> bool:
+        """Tell whether this node lately sent a request with `key` to it."""
+        at_ms = self.warm_keys.get(key)
+        return at_ms is not None and now_ms - at_ms < WARM_MEMORY_MS
+
+    def note_key(self, key: str, now_ms: int) -> None:
+        """Remember that it has handled a request with `key`."""
+        self.warm_keys[key] = now_ms
+        self.warm_keys.move_to_end(key)
+        if len(self.warm_keys) > WARM_MEMORY_KEYS:
+            self.warm_keys.popitem(last=False)
+
+    def _block(self, doublings: int, now_ms: int) -> None:
+        block_ms = min(MAX_BLOCK_MS, FIRST_BLOCK_MS << min(doublings, 10))
+        self.blocked_until_ms = now_ms + block_ms
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Learn upstreams, other nodes and configuration from the platform."""
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -0,0 +1,18 @@
+"""Constants of discovery; times in ms."""
+
+WATCH_WAIT_MS = 3_000
+WATCH_MARGIN_MS = 700
+LIST_TIMEOUT_MS = 1_500
+WRITE_TIMEOUT_MS = 1_500
+BATCH_PAUSE_MS = 100
+RETRY_BASE_MS = 100
+RETRY_MAX_MS = 800
+
+RETURN_GRACE_MS = 2_000
+"""How long upstreams may take to register again after a store outage."""
+
+NEAR_HEARTBEAT_MS = 250
+FAR_HEARTBEAT_MS = 1_000
+NEAR_TIMEOUT_MS = 1_300
+FAR_TIMEOUT_MS = 3_500
+MAX_DATAGRAM_BYTES = 60_000
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -0,0 +1,107 @@
+"""Follow all objects of one kind in the platform's store."""
+
+import logging
+from typing import Protocol
+
+import gevent
+from gevent import Greenlet
+
+from bilberry_core.const import MS_PER_SECOND
+from bilberry_core.outcome import Failure
+from bilberry_store.backoff import Backoff
+from bilberry_store.errors import StoreError, StoreErrorKind
+
+from .const import BATCH_PAUSE_MS, RETRY_BASE_MS, RETRY_MAX_MS, WATCH_WAIT_MS
+from .source import Changes, ObjectSource, Snapshot
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class FeedListener(Protocol):
+    """Take what a feed brings."""
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace all that was known."""
+        ...
+
+    def on_changes(self, changes: Changes) -> None:
+        """Take in what has changed."""
+        ...
+
+    def on_outage(self) -> None:
+        """Note that the store can't be read for now."""
+        ...
+
+
+class Feed:
+    """List a kind, then watch it; list again after a gap."""
+
+    __slots__ = ("backoff", "kind", "listener", "source", "task")
+
+    def __init__(
+        self, kind: str, source: ObjectSource, listener: FeedListener, seed: int
+    ) -> None:
+        self.kind = kind
+        self.source = source
+        self.listener = listener
+        self.backoff = Backoff(seed, RETRY_BASE_MS, RETRY_MAX_MS)
+        self.task: Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to follow the kind."""
+        self.task = gevent.spawn(self.run)
+
+    def close(self) -> None:
+        """Stop following."""
+        if self.task is not None:
+            self.task.kill()
+            self.task = None
+
+    def run(self) -> None:
+        """Follow the kind until closed."""
+        while True:
+            listed = self.source.list(self.kind)
+            if isinstance(listed, Failure):
+                self.pause(listed.failure())
+                continue
+            snapshot = listed.unwrap()
+            self.recover()
+            self.listener.on_snapshot(snapshot)
+            self.follow(snapshot.revision)
+
+    def follow(self, revision: int) -> None:
+        """Watch from `revision` until the history is gone."""
+        while True:
+            watched = self.source.watch(self.kind, revision, WATCH_WAIT_MS)
+            if isinstance(watched, Failure):
+                error = watched.failure()
+                if error.kind is StoreErrorKind.GONE:
+                    _LOGGER.info("discovery: History of %s is gone.", self.kind)
+                    return
+                self.pause(error)
+                continue
+            changes = watched.unwrap()
+            self.recover()
+            revision = max(revision, changes.revision)
+            if changes.changes:
+                self.listener.on_changes(changes)
+                gevent.sleep(BATCH_PAUSE_MS / MS_PER_SECOND)
+
+    def pause(self, error: StoreError) -> None:
+        """Note a failed call and wait before the next."""
+        if self.backoff.failures == 0:
+            _LOGGER.warning(
+                "discovery: Lost %s: %s, %s.", self.kind, error.kind, error.reason
+            )
+        self.listener.on_outage()
+        gevent.sleep(self.backoff.next_ms() / MS_PER_SECOND)
+
+    def recover(self) -> None:
+        """Note an answered call."""
+        if self.backoff.failures:
+            _LOGGER.info(
+                "discovery: Reads %s again after %s failures.",
+                self.kind,
+                self.backoff.failures,
+            )
+        self.backoff.reset()
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
@@ -0,0 +1,102 @@
+"""Exchange heartbeats with the other nodes over UDP."""
+
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import msgspec
+from gevent import Greenlet, socket
+
+from bilberry_core.address import split_address
+from bilberry_core.clock import Clock
+from bilberry_core.const import MS_PER_SECOND
+
+from .const import FAR_HEARTBEAT_MS, MAX_DATAGRAM_BYTES, NEAR_HEARTBEAT_MS
+from .nodes import Heartbeat, Peers
+
+_LOGGER = logging.getLogger(__name__)
+
+TICK_MS = 50
+
+
+class HeartbeatTask:
+    """Own the UDP socket; send to all known peers, take what comes."""
+
+    __slots__ = ("clock", "make", "on_heartbeat", "peers", "sock", "tasks")
+
+    def __init__(
+        self,
+        peers: Peers,
+        clock: Clock,
+        make: Callable[[], Heartbeat],
+        on_heartbeat: Callable[[Heartbeat], None],
+    ) -> None:
+        self.peers = peers
+        self.clock = clock
+        self.make = make
+        self.on_heartbeat = on_heartbeat
+        self.sock: Any = None
+        self.tasks: list[Greenlet] = []
+
+    def start(self) -> None:
+        """Bind the socket and begin."""
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.sock.bind(split_address(self.peers.me.peer_address))
+        self.tasks = [gevent.spawn(self.receive), gevent.spawn(self.send)]
+
+    def close(self) -> None:
+        """Stop and close the socket."""
+        gevent.killall(self.tasks)
+        self.tasks = []
+        if self.sock is not None:
+            self.sock.close()
+            self.sock = None
+
+    def receive(self) -> None:
+        """Take in heartbeats until closed."""
+        decoder = msgspec.msgpack.Decoder(Heartbeat)
+        while True:
+            try:
+                data = self.sock.recv(MAX_DATAGRAM_BYTES)
+                heartbeat = decoder.decode(data)
+            except OSError as error:
+                _LOGGER.warning("heartbeats: Receiving failed: %s.", error)
+                gevent.sleep(TICK_MS / MS_PER_SECOND)
+                continue
+            except msgspec.MsgspecError as error:
+                _LOGGER.warning("heartbeats: Unreadable datagram: %s.", error)
+                continue
+            if self.peers.on_heartbeat(heartbeat, self.clock.now_ms()):
+                self.on_heartbeat(heartbeat)
+
+    def send(self) -> None:
+        """Send to each peer at its interval until closed."""
+        while True:
+            self.send_due(self.clock.now_ms())
+            gevent.sleep(TICK_MS / MS_PER_SECOND)
+
+    def send_now(self) -> None:
+        """Send to all peers at once, as after a change of readiness."""
+        for peer in self.peers.peers.values():
+            peer.next_send_ms = 0
+        self.send_due(self.clock.now_ms())
+
+    def send_due(self, now_ms: int) -> None:
+        """Send to the peers whose turn it is."""
+        due = [p for p in self.peers.peers.values() if now_ms >= p.next_send_ms]
+        if not due:
+            return
+        data = msgspec.msgpack.encode(self.make())
+        for peer in due:
+            near = self.peers.is_near(peer.info)
+            peer.next_send_ms = now_ms + (
+                NEAR_HEARTBEAT_MS if near else FAR_HEARTBEAT_MS
+            )
+            self._send_to(peer.info.peer_address, data)
+
+    def _send_to(self, address: str, data: bytes) -> None:
+        try:
+            self.sock.sendto(data, split_address(address))
+        except OSError as error:
+            _LOGGER.warning("heartbeats: Sending to %s failed: %s.", address, error)
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
@@ -0,0 +1,98 @@
+"""Know the other nodes: from the store, and by their heartbeats."""
+
+from dataclasses import dataclass, field
+
+import msgspec
+
+from .const import FAR_TIMEOUT_MS, NEAR_TIMEOUT_MS
+
+
+class NodeInfo(msgspec.Struct, frozen=True):
+    """Describe one run of a node; each start has a new `run_id`."""
+
+    name: str
+    run_id: str
+    entry_address: str
+    peer_address: str
+    failure_domain: str
+    region: str
+
+
+class Heartbeat(msgspec.Struct, array_like=True):
+    """Carry a node's state to its peers, in one datagram.
+
+    `in_flight` holds its requests at each upstream, zeros left out.
+    """
+
+    node: NodeInfo
+    number: int
+    ready: bool
+    config_version: int
+    in_flight: dict[str, int]
+
+
+@dataclass(slots=True)
+class Peer:
+    """Hold what is known of another node; times in monotonic ms."""
+
+    info: NodeInfo
+    heard_at_ms: int | None = None
+    number: int = 0
+    ready: bool = False
+    next_send_ms: int = 0
+
+
+@dataclass(slots=True)
+class Peers:
+    """Own this node's view of the others."""
+
+    me: NodeInfo
+    peers: dict[str, Peer] = field(default_factory=dict)
+    ended_runs: set[str] = field(default_factory=set)
+
+    def on_stored(self, infos: list[NodeInfo], now_ms: int) -> None:
+        """Take over the nodes that the store lists, unless heard of."""
+        for info in infos:
+            known = self.peers.get(info.name)
+            if known is None or not self._is_alive(known, now_ms):
+                self._know(info)
+        listed = {info.name for info in infos}
+        for name, peer in list(self.peers.items()):
+            if name not in listed and not self._is_alive(peer, now_ms):
+                del self.peers[name]
+
+    def on_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> bool:
+        """Take in a heartbeat; return False for an outdated one."""
+        peer = self._know(heartbeat.node)
+        if peer is None or heartbeat.number <= peer.number:
+            return False
+        peer.heard_at_ms = now_ms
+        peer.number = heartbeat.number
+        peer.ready = heartbeat.ready
+        return True
+
+    def alive(self, now_ms: int) -> list[Peer]:
+        """Return the peers that were heard of lately."""
+        return [peer for peer in self.peers.values() if self._is_alive(peer, now_ms)]
+
+    def is_near(self, info: NodeInfo) -> bool:
+        """Tell whether a node is in this node's region."""
+        return info.region == self.me.region
+
+    def _is_alive(self, peer: Peer, now_ms: int) -> bool:
+        if peer.heard_at_ms is None:
+            return False
+        timeout_ms = NEAR_TIMEOUT_MS if self.is_near(peer.info) else FAR_TIMEOUT_MS
+        return now_ms - peer.heard_at_ms < timeout_ms
+
+    def _know(self, info: NodeInfo) -> Peer | None:
+        """Return the peer's state; a new run replaces the one before."""
+        if info.name == self.me.name or info.run_id in self.ended_runs:
+            return None
+        known = self.peers.get(info.name)
+        if known is None or known.info.run_id != info.run_id:
+            if known is not None:
+                self.ended_runs.add(known.info.run_id)
+            known = Peer(info)
+            self.peers[info.name] = known
+        return known
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -0,0 +1,145 @@
+"""Turn upstreams' entries in the store into the node's directory."""
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from bilberry_balance.placement.directory import UpstreamDirectory
+from bilberry_balance.placement.upstream import UpstreamSpec
+from bilberry_core.clock import Clock
+from bilberry_core.outcome import Failure, Result
+from bilberry_resources.routing import PoolRule
+
+from .const import RETURN_GRACE_MS
+from .source import Changes, Record, Snapshot
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class UpstreamEntry:
+    """Hold what an upstream says of itself; `cold_left_ms` as it wrote."""
+
+    spec: UpstreamSpec
+    draining: bool
+    cold_left_ms: int
+
+
+UpstreamDecoder = Callable[[Record], Result[UpstreamEntry, str]]
+
+
+class UpstreamFeed:
+    """Keep the directory in step with the entries in the store.
+
+    An entry that is missing right after an outage may only have lapsed: its
+    upstream is kept for a while, so that it can register again.
+    """
+
+    __slots__ = (
+        "clock",
+        "decode",
+        "directory",
+        "known",
+        "missing_since_ms",
+        "on_change",
+        "outage_seen",
+        "pools",
+        "returned_at_ms",
+    )
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        decode: UpstreamDecoder,
+        clock: Clock,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.directory = directory
+        self.decode = decode
+        self.clock = clock
+        self.on_change = on_change
+        self.pools: dict[str, PoolRule] = {}
+        self.known = False
+        self.outage_seen = False
+        self.returned_at_ms: int | None = None
+        self.missing_since_ms: dict[str, int] = {}
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace all that was known."""
+        self._note_return()
+        present = set()
+        for record in snapshot.records:
+            if self._put(record):
+                present.add(record.name)
+        for name in [n for n in self.directory.by_name if n not in present]:
+            self._lose(name)
+        self.known = True
+        self.on_change()
+
+    def on_changes(self, changes: Changes) -> None:
+        """Take in what has changed."""
+        self._note_return()
+        for change in changes.changes:
+            if change.deleted or not self._put(change.record):
+                self._lose(change.record.name)
+        self.on_change()
+
+    def on_outage(self) -> None:
+        """Note that the store can't be read for now."""
+        self.outage_seen = True
+
+    def expire(self, now_ms: int) -> None:
+        """Drop the upstreams that have not registered again in time."""
+        late = [n for n, at_ms in self.missing_since_ms.items() if now_ms >= at_ms]
+        for name in late:
+            del self.missing_since_ms[name]
+            self._remove(name, "has not registered again")
+        if late:
+            self.on_change()
+
+    def _note_return(self) -> None:
+        if self.outage_seen:
+            self.outage_seen = False
+            self.returned_at_ms = self.clock.now_ms()
+
+    def _put(self, record: Record) -> bool:
+        decoded = self.decode(record)
+        if isinstance(decoded, Failure):
+            _LOGGER.warning(
+                "discovery: Ignored entry %s: %s.", record.name, decoded.failure()
+            )
+            return False
+        entry = decoded.unwrap()
+        self.missing_since_ms.pop(record.name, None)
+        was = self.directory.by_name.get(record.name)
+        if was is None or was.spec != entry.spec or was.draining != entry.draining:
+            _LOGGER.info(
+                "discovery: Upstream %s of %s in %s, draining %s, cold %s ms.",
+                record.name,
+                entry.spec.service,
+                entry.spec.failure_domain,
+                entry.draining,
+                entry.cold_left_ms,
+            )
+        upstream = self.directory.put(entry.spec, entry.draining)
+        pool = self.pools.get(entry.spec.service)
+        cold_per_s = pool.cold_per_s if pool else 0.0
+        now_ms = self.clock.now_ms()
+        self.directory.chill(upstream, entry.cold_left_ms, cold_per_s, now_ms)
+        return True
+
+    def _lose(self, name: str) -> None:
+        if name not in self.directory.by_name or name in self.missing_since_ms:
+            return
+        returned_at_ms = self.returned_at_ms
+        if returned_at_ms is not None:
+            keep_until_ms = returned_at_ms + RETURN_GRACE_MS
+            if self.clock.now_ms() < keep_until_ms:
+                self.missing_since_ms[name] = keep_until_ms
+                _LOGGER.info("discovery: Upstream %s may have lapsed.", name)
+                return
+        self._remove(name, "is gone")
+
+    def _remove(self, name: str, reason: str) -> None:
+        if self.directory.remove(name) is not None:
+            _LOGGER.info("discovery: Upstream %s %s.", name, reason)
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers by routes: read, place, forward and answer requests."""
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -0,0 +1,112 @@
+"""Learn about upstreams from the attempts that ended there."""
+
+import logging
+from http import HTTPStatus
+
+from bilberry_balance.outcomes import FailurePoint
+from bilberry_balance.placement.chooser import Choice
+from bilberry_balance.placement.upstream import Upstream
+from bilberry_balance.placement.work_times import WorkTimes
+
+from .links import Outcome
+from .messages import HeaderNames
+from .state import EntryState
+
+_LOGGER = logging.getLogger(__name__)
+
+LOAD_FIELDS = 3
+FAILED = frozenset(
+    {
+        FailurePoint.AWAITING_ANSWER,
+        FailurePoint.MID_ANSWER,
+        FailurePoint.MALFORMED_ANSWER,
+    }
+)
+
+
+class Accounts:
+    """Keep what the node knows of upstreams in step with outcomes."""
+
+    __slots__ = ("names", "state")
+
+    def __init__(self, state: EntryState, names: HeaderNames) -> None:
+        self.state = state
+        self.names = names
+
+    def settle(
+        self, choice: Choice, outcome: Outcome, work: WorkTimes, sent_at_ms: int
+    ) -> None:
+        """Account for one attempt that was sent at `sent_at_ms`."""
+        upstream = choice.upstream
+        now_ms = self.state.clock.now_ms()
+        point = outcome.point
+        has_room = self._note_load(upstream, outcome, now_ms)
+        if point is None:
+            pool = self.state.pool(upstream.spec.service)
+            upstream.on_answer(pool.cold_start_ms, now_ms)
+            self._note_work(choice, outcome, work, now_ms - sent_at_ms, now_ms)
+        elif point is FailurePoint.DURING_CONNECT:
+            self._note_unreachable(upstream, outcome, now_ms)
+        elif point is FailurePoint.SHED_NOT_RUN:
+            self._note_shed(upstream, outcome, has_room, now_ms)
+        elif point in FAILED:
+            _LOGGER.info(
+                "entry: Upstream %s failed: %s %s.",
+                upstream.name,
+                point,
+                outcome.reason,
+            )
+            upstream.on_failure(now_ms)
+        elif point is FailurePoint.DEADLINE_AFTER_SEND:
+            ratio = (now_ms - sent_at_ms) / max(choice.expected_ms, 1.0)
+            upstream.on_work(ratio, now_ms)
+
+    def _note_unreachable(
+        self, upstream: Upstream, outcome: Outcome, now_ms: int
+    ) -> None:
+        if not upstream.unreachable:
+            _LOGGER.warning(
+                "entry: Upstream %s is unreachable: %s.", upstream.name, outcome.reason
+            )
+        upstream.on_unreachable(now_ms)
+        self.state.guard.relax(now_ms)
+
+    def _note_shed(
+        self, upstream: Upstream, outcome: Outcome, has_room: bool, now_ms: int
+    ) -> None:
+        parser = outcome.parser
+        if parser is not None and parser.status == HTTPStatus.MISDIRECTED_REQUEST:
+            _LOGGER.warning("entry: Upstream %s has been replaced.", upstream.name)
+            upstream.draining = True
+            return
+        upstream.on_shed(has_room, now_ms)
+
+    def _note_work(
+        self,
+        choice: Choice,
+        outcome: Outcome,
+        work: WorkTimes,
+        took_ms: int,
+        now_ms: int,
+    ) -> None:
+        parser = outcome.parser
+        if parser is None or parser.status >= HTTPStatus.BAD_REQUEST:
+            return
+        if choice.upstream.is_cold(now_ms):
+            return
+        ratio = work.observe(choice.warmth, took_ms)
+        choice.upstream.on_work(ratio, now_ms)
+
+    def _note_load(self, upstream: Upstream, outcome: Outcome, now_ms: int) -> bool:
+        """Take the load that an answer tells; return whether room was left."""
+        parser = outcome.parser
+        text = parser.first(self.names.load.lower()) if parser else None
+        if text is None:
+            return False
+        numbers = [part.strip() for part in text.split(",")]
+        if len(numbers) != LOAD_FIELDS or not all(n.isdigit() for n in numbers):
+            _LOGGER.warning("entry: Unreadable load of %s: %s.", upstream.name, text)
+            return False
+        running, waiting, slots = (int(number) for number in numbers)
+        upstream.on_report(running, waiting, now_ms)
+        return running < slots
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -0,0 +1,311 @@
+"""Serve one caller's connection; pipelined requests run side by side."""
+
+import logging
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any, Protocol
+
+import gevent
+from gevent.event import Event
+
+from bilberry_core.clock import Clock
+from bilberry_core.const import MS_PER_SECOND
+from bilberry_core.outcome import Failure
+from bilberry_resources.routing import CallerLimits
+
+from ..http.body import BodyError, BodyReader
+from ..http.connection import Connection, ConnectionLostError, ReadTimeoutError
+from ..http.const import END_OF_HEAD, END_OF_LINE, METHOD_HEAD
+from ..http.head import HeadError, RequestHead, parse_head
+from .const import (
+    BODY_TIMEOUT_MS,
+    CLOSE_LINGER_MS,
+    MAX_PIPELINED,
+    WRITE_TIMEOUT_MS,
+)
+from .messages import EntryAnswer, EntryRequest, own_answer
+
+_LOGGER = logging.getLogger(__name__)
+
+BODILESS_STATUSES = frozenset({HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED})
+
+
+class Handler(Protocol):
+    """Answer requests."""
+
+    def handle(self, request: EntryRequest) -> EntryAnswer:
+        """Return the answer; runs in a greenlet of its own."""
+        ...
+
+    def may_overlap(self, head: RequestHead) -> bool:
+        """Tell whether the request may run before earlier ones ended."""
+        ...
+
+
+@dataclass(slots=True)
+class Exchange:
+    """Hold a request that was read and its answer, once there is one."""
+
+    request: EntryRequest
+    answer: EntryAnswer | None = None
+
+
+class Caller:
+    """Own one accepted connection: read requests, write answers in order."""
+
+    __slots__ = (
+        "client",
+        "clock",
+        "closing",
+        "connection",
+        "draining",
+        "handler",
+        "limits",
+        "pending",
+        "reading",
+        "served",
+        "settled",
+        "writing",
+    )
+
+    def __init__(
+        self,
+        sock: Any,
+        client: str,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+        clock: Clock,
+    ) -> None:
+        self.connection = Connection(sock, clock)
+        self.client = client
+        self.handler = handler
+        self.limits = limits
+        self.clock = clock
+        self.pending: deque[Exchange] = deque()
+        self.settled = Event()
+        self.reading = False
+        self.served = False
+        self.writing = False
+        self.closing = False
+        self.draining = False
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether a request is being read or answered."""
+        return self.reading or bool(self.pending)
+
+    def run(self) -> None:
+        """Serve requests until one side closes."""
+        try:
+            while not self.closing and self.serve_next():
+                pass
+            self.await_answers(0)
+            self.finish()
+        except (ConnectionLostError, OSError):
+            self.leave()
+        finally:
+            self.connection.sock.close()
+
+    def drain(self) -> None:
+        """Close once nothing is being read or answered.
+
+        A connection that has sent nothing yet is about to: it stays.
+        """
+        self.draining = True
+        if self.served and not self.busy and not self.connection.buffer:
+            self.connection.close_if_silent()
+
+    def serve_next(self) -> bool:
+        """Read the next request and start it; False ends the reading."""
+        parsed = self.read_head()
+        if parsed is None:
+            return False
+        if isinstance(parsed, HeadError):
+            self.refuse(parsed)
+            return False
+        if not self.handler.may_overlap(parsed):
+            self.await_answers(0)
+            if self.closing:
+                return False
+        request = self.read_request(parsed)
+        if request is None:
+            return False
+        exchange = Exchange(request)
+        self.pending.append(exchange)
+        self.reading = False
+        self.served = True
+        gevent.spawn(self.answer, exchange)
+        self.await_answers(MAX_PIPELINED - 1)
+        return parsed.keep_alive
+
+    def read_head(self) -> RequestHead | HeadError | None:
+        """Return the next head, or None when the connection stays idle."""
+        buffer = self.connection.buffer
+        while not buffer:
+            if not self.wait_idle():
+                return None
+        self.reading = True
+        limits = self.limits()
+        if buffer.startswith(END_OF_LINE):
+            del buffer[: len(END_OF_LINE)]
+        end_ms = self.clock.now_ms() + limits.header_timeout_ms
+        while (end := buffer.find(END_OF_HEAD)) < 0:
+            if len(buffer) > limits.max_header_bytes:
+                return _head_too_large()
+            left_ms = end_ms - self.clock.now_ms()
+            if left_ms <= 0:
+                return _head_too_late()
+            try:
+                self.connection.fill(left_ms)
+            except ReadTimeoutError:
+                return _head_too_late()
+        if end > limits.max_header_bytes:
+            return _head_too_large()
+        data = self.connection.take(end)
+        del buffer[: len(END_OF_HEAD)]
+        parsed = parse_head(data)
+        return parsed.failure() if isinstance(parsed, Failure) else parsed.unwrap()
+
+    def wait_idle(self) -> bool:
+        """Wait for bytes; False when there is nothing to wait for."""
+        self.reading = False
+        if self.draining and self.served and not self.pending:
+            return False
+        try:
+            self.connection.fill(self.limits().idle_timeout_ms)
+        except ReadTimeoutError:
+            return bool(self.pending)
+        if self.closing:
+            self.connection.buffer.clear()
+        return not self.closing
+
+    def read_request(self, head: RequestHead) -> EntryRequest | None:
+        """Return the request with its whole body, None if refused."""
+        limits = self.limits()
+        body = b""
+        if head.chunked or head.content_length:
+            if (head.content_length or 0) > limits.max_body_bytes:
+                self.refuse(_body_too_large(limits))
+                return None
+            reader = BodyReader(
+                self.connection,
+                head,
+                limit_bytes=limits.max_body_bytes,
+                timeout_ms=BODY_TIMEOUT_MS,
+            )
+            try:
+                body = reader.read()
+            except BodyError as error:
+                self.refuse(HeadError(error.status, error.reason))
+                return None
+        return EntryRequest(head, body, self.client, self.clock.now_ms())
+
+    def answer(self, exchange: Exchange) -> None:
+        """Work out one answer, then write those that are due."""
+        try:
+            exchange.answer = self.handler.handle(exchange.request)
+        except Exception:
+            _LOGGER.exception("entry: Request failed.")
+            exchange.answer = own_answer(HTTPStatus.BAD_GATEWAY, "internal error")
+        self.write_due()
+
+    def write_due(self) -> None:
+        """Write the answers whose turn has come."""
+        if self.writing:
+            return
+        self.writing = True
+        try:
+            while self.pending and self.pending[0].answer is not None:
+                exchange = self.pending[0]
+                if not self.closing:
+                    self.write(exchange)
+                self.pending.popleft()
+                self.settled.set()
+        except OSError:
+            self.closing = True
+            self.leave()
+            self.connection.abort()
+            self.connection.sock.close()
+        finally:
+            self.writing = False
+
+    def write(self, exchange: Exchange) -> None:
+        """Write one answer; the last one of a closing connection says so."""
+        answer, head = exchange.answer, exchange.request.head
+        assert answer is not None
+        last = len(self.pending) == 1 and not self.reading
+        close = answer.close or not head.keep_alive or (self.draining and last)
+        lines = [f"HTTP/1.1 {answer.status_line}"]
+        lines += [f"{name}: {value}" for name, value in answer.headers]
+        body = answer.body
+        if answer.status not in BODILESS_STATUSES and head.method != METHOD_HEAD:
+            lines.append(f"Content-Length: {len(body)}")
+        else:
+            body = b""
+        if close:
+            lines.append("Connection: close")
+        elif head.minor_version == 0:
+            lines.append("Connection: keep-alive")
+        data = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+        self.connection.sock.settimeout(WRITE_TIMEOUT_MS / MS_PER_SECOND)
+        self.connection.sock.sendall(data)
+        if close:
+            self.end_writing()
+
+    def end_writing(self) -> None:
+        """Send the end of the stream; the reader then sees the other end."""
+        self.closing = True
+        for exchange in list(self.pending)[1:]:
+            exchange.request.leave()
+        try:
+            self.connection.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            return
+
+    def await_answers(self, most: int) -> None:
+        """Wait until at most `most` requests are unanswered."""
+        if len(self.pending) <= most:
+            return
+        self.connection.watch(self.leave)
+        while len(self.pending) > most:
+            self.settled.clear()
+            self.settled.wait()
+        self.connection.unwatch()
+
+    def refuse(self, error: HeadError) -> None:
+        """Answer with an error made here and close."""
+        self.await_answers(0)
+        if self.closing:
+            return
+        head = RequestHead("GET", "/", 1, [], keep_alive=False)
+        request = EntryRequest(head, b"", self.client, self.clock.now_ms())
+        answer = own_answer(error.status, error.reason)
+        self.pending.append(Exchange(request, answer))
+        self.write_due()
+
+    def finish(self) -> None:
+        """Close in order, so that no reset cuts the last answer."""
+        if not self.connection.aborted:
+            self.connection.linger(CLOSE_LINGER_MS)
+
+    def leave(self) -> None:
+        """Tell the requests in progress that the caller is gone."""
+        for exchange in list(self.pending):
+            exchange.request.leave()
+
+
+def _head_too_large() -> HeadError:
+    status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    return HeadError(status, "the head is too large")
+
+
+def _head_too_late() -> HeadError:
+    return HeadError(HTTPStatus.REQUEST_TIMEOUT, "the head came too slowly")
+
+
+def _body_too_large(limits: CallerLimits) -> HeadError:
+    reason = f"the body is over {limits.max_body_bytes} bytes"
+    return HeadError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, reason)
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -0,0 +1,31 @@
+"""Constants of the entry; times in ms."""
+
+MAX_PIPELINED = 16
+MAX_CALLERS = 3_000
+WRITE_TIMEOUT_MS = 5_000
+BODY_TIMEOUT_MS = 10_000
+CLOSE_LINGER_MS = 500
+
+DIAL_TIMEOUT_MS = 450
+SILENT_PEER_MS = 1_000
+"""How long sent bytes may stay without a TCP acknowledgement."""
+DEFAULT_IDLE_MS = 4_000
+IDLE_MARGIN_MS = 1_000
+FRESH_IDLE_PART = 0.5
+MAX_ANSWER_BYTES = 16_000_000
+MAX_FORWARDED_TIMEOUT_MS = 600_000
+
+QUEUE_TICK_MS = 20
+QUEUE_MISSES = 3
+EXPIRE_TICK_MS = 200
+
+RETRY_PART = 0.8
+"""Part of the retry bound that nodes plan with."""
+
+DIRECTORY_TTL_MS = 2_000
+MAX_DIRECTORY_NODES = 64
+
+DRAIN_SERVE_MS = 2_500
+"""How long a leaving node goes on taking requests."""
+DRAIN_MARGIN_MS = 300
+DRAIN_TICK_MS = 50
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/listener.py
@@ -0,0 +1,88 @@
+"""Accept callers on one address."""
+
+import logging
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+from gevent.pool import Pool
+from gevent.server import StreamServer
+
+from bilberry_core.address import split_address
+from bilberry_core.clock import Clock
+from bilberry_core.const import MS_PER_SECOND
+from bilberry_resources.routing import CallerLimits
+
+from .caller import Caller, Handler
+from .const import DRAIN_TICK_MS, MAX_CALLERS
+
+_LOGGER = logging.getLogger(__name__)
+
+BACKLOG = 1_024
+
+
+class Listener:
+    """Own a listening socket and the connections accepted on it."""
+
+    __slots__ = ("callers", "clock", "draining", "handler", "limits", "server")
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        limits: Callable[[], CallerLimits],
+        clock: Clock,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.clock = clock
+        self.callers: set[Caller] = set()
+        self.draining = False
+        self.server = StreamServer(
+            split_address(address), self.serve, spawn=Pool(MAX_CALLERS), backlog=BACKLOG
+        )
+
+    @property
+    def address(self) -> str:
+        """Return the `ip:port` that the socket is bound to."""
+        return f"{self.server.server_host}:{self.server.server_port}"
+
+    @property
+    def busy(self) -> bool:
+        """Tell whether any request is being read or answered."""
+        return any(caller.busy for caller in self.callers)
+
+    def start(self) -> None:
+        """Listen."""
+        self.server.start()
+
+    def close(self) -> None:
+        """Stop listening and cut what is left."""
+        self.server.stop(timeout=0)
+
+    def serve(self, sock: Any, address: Any) -> None:
+        """Serve one accepted connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        caller = Caller(sock, address[0], self.handler, self.limits, self.clock)
+        caller.draining = self.draining
+        self.callers.add(caller)
+        try:
+            caller.run()
+        finally:
+            self.callers.discard(caller)
+
+    def start_draining(self) -> None:
+        """Close idle connections, and the others after their answers."""
+        self.draining = True
+        for caller in list(self.callers):
+            caller.drain()
+
+    def await_idle(self, limit_ms: int) -> bool:
+        """Wait until no request is left; return False at the limit."""
+        end_ms = self.clock.now_ms() + limit_ms
+        while self.busy:
+            if self.clock.now_ms() >= end_ms:
+                return False
+            gevent.sleep(DRAIN_TICK_MS / MS_PER_SECOND)
+        return True
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -0,0 +1,156 @@
+"""Take part in the fleet: register, send heartbeats, learn of the others."""
+
+import logging
+from collections.abc import Callable
+
+import gevent
+from gevent import Greenlet
+
+from bilberry_core.const import MS_PER_SECOND
+from bilberry_core.outcome import Failure
+from bilberry_fleet.discovery.const import RETRY_BASE_MS, RETRY_MAX_MS
+from bilberry_fleet.discovery.heartbeats import HeartbeatTask
+from bilberry_fleet.discovery.nodes import Heartbeat, NodeInfo, Peers
+from bilberry_fleet.discovery.source import Changes, Record, Snapshot
+from bilberry_steering.nearest import EntryPoint
+from bilberry_store.backoff import Backoff
+
+from .platform import Platform
+from .state import EntryState
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Membership:
+    """Own this node's entry in the store and its view of the others."""
+
+    __slots__ = (
+        "heartbeats",
+        "is_ready",
+        "leaving",
+        "me",
+        "number",
+        "peers",
+        "platform",
+        "records",
+        "state",
+        "task",
+    )
+
+    def __init__(
+        self,
+        me: NodeInfo,
+        platform: Platform,
+        state: EntryState,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        self.me = me
+        self.platform = platform
+        self.state = state
+        self.is_ready = is_ready
+        self.peers = Peers(me)
+        self.records: dict[str, NodeInfo] = {}
+        self.number = 0
+        self.leaving = False
+        self.task: Greenlet | None = None
+        self.heartbeats = HeartbeatTask(
+            self.peers, state.clock, self.make_heartbeat, self.on_heartbeat
+        )
+
+    def start(self) -> None:
+        """Register and begin to send heartbeats."""
+        self.heartbeats.start()
+        self.task = gevent.spawn(self.register)
+
+    def leave(self) -> None:
+        """Tell the others that this node takes no new callers."""
+        self.leaving = True
+        if self.task is not None:
+            self.task.kill()
+            self.task = None
+        self.heartbeats.send_now()
+
+    def close(self) -> None:
+        """Remove the node's entry and stop."""
+        deleted = self.platform.register.delete(self.me.name)
+        if isinstance(deleted, Failure):
+            _LOGGER.warning("fleet: Entry not removed: %s.", deleted.failure())
+        self.heartbeats.close()
+
+    def register(self) -> None:
+        """Write the node's entry, again until it is stored."""
+        backoff = Backoff(self.state.routes.rng.randrange(1 << 30))
+        backoff.base_ms, backoff.max_ms = RETRY_BASE_MS, RETRY_MAX_MS
+        while True:
+            stored = self.platform.register.put(self.me)
+            if not isinstance(stored, Failure):
+                return
+            _LOGGER.warning("fleet: Entry not stored: %s.", stored.failure())
+            gevent.sleep(backoff.next_ms() / MS_PER_SECOND)
+
+    def points(self) -> list[EntryPoint]:
+        """Return the nodes that take callers now."""
+        now_ms = self.state.clock.now_ms()
+        infos = [peer.info for peer in self.peers.alive(now_ms) if peer.ready]
+        if self.is_ready():
+            infos.append(self.me)
+        infos.sort(key=lambda info: info.name)
+        return [
+            EntryPoint(info.entry_address, info.failure_domain, info.region)
+            for info in infos
+        ]
+
+    def make_heartbeat(self) -> Heartbeat:
+        """Return this node's state for its peers."""
+        self.number += 1
+        config = self.state.routes.config
+        return Heartbeat(
+            self.me,
+            self.number,
+            self.is_ready() and not self.leaving,
+            config.version if config else 0,
+            self.state.in_flight(),
+        )
+
+    def on_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Take over a peer's load."""
+        name = heartbeat.node.name
+        self.state.loads.tell(name, heartbeat.in_flight, self.state.clock.now_ms())
+        self.count()
+
+    def count(self) -> None:
+        """Cut shared bounds for the nodes that are known."""
+        self.state.set_known_nodes(len(self.peers.peers) + 1)
+
+    def on_snapshot(self, snapshot: Snapshot) -> None:
+        """Replace the registered nodes."""
+        self.records.clear()
+        for record in snapshot.records:
+            self._put(record)
+        self._changed()
+
+    def on_changes(self, changes: Changes) -> None:
+        """Take in registered and removed nodes."""
+        for change in changes.changes:
+            if change.deleted:
+                self.records.pop(change.record.name, None)
+            else:
+                self._put(change.record)
+        self._changed()
+
+    def on_outage(self) -> None:
+        """Keep what is known."""
+
+    def _put(self, record: Record) -> None:
+        decoded = self.platform.decode_node(record)
+        if isinstance(decoded, Failure):
+            _LOGGER.warning(
+                "fleet: Ignored entry %s: %s.", record.name, decoded.failure()
+            )
+            return
+        self.records[record.name] = decoded.unwrap()
+
+    def _changed(self) -> None:
+        now_ms = self.state.clock.now_ms()
+        self.peers.on_stored(list(self.records.values()), now_ms)
+        self.count()
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -0,0 +1,193 @@
+"""Wire the parts of one entry node and run them."""
+
+import logging
+from dataclasses import dataclass
+
+import gevent
+from gevent import Greenlet
+
+from bilberry_balance.placement.chooser import Place
+from bilberry_core.clock import Clock
+from bilberry_core.const import MS_PER_SECOND
+from bilberry_core.ids import stable_hash
+from bilberry_fleet.discovery.config import ConfigFeed, NamesFeed
+from bilberry_fleet.discovery.feed import Feed, FeedListener
+from bilberry_fleet.discovery.nodes import NodeInfo
+from bilberry_fleet.discovery.upstreams import UpstreamFeed
+from bilberry_resources.routing import CallerLimits, RoutingConfig
+
+from .const import DRAIN_MARGIN_MS, DRAIN_SERVE_MS, EXPIRE_TICK_MS
+from .forwarder import Forwarder
+from .links import Links
+from .listener import Listener
+from .membership import Membership
+from .placing import Placer
+from .platform import Platform
+from .services import DirectoryHandler, ReadyHandler
+from .state import Bounds, EntryState
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class NodeAddresses:
+    """Hold the `ip:port` of each listener; `peer` is for UDP."""
+
+    entry: str
+    readiness: str
+    directory: str
+    peer: str
+
+
+class EntryNode:
+    """Own all parts of a node that serves callers by routes."""
+
+    __slots__ = (
+        "clock",
+        "draining",
+        "entry",
+        "feeds",
+        "forwarder",
+        "links",
+        "listeners",
+        "membership",
+        "placer",
+        "platform",
+        "state",
+        "task",
+        "upstream_feed",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        run_id: str,
+        place: Place,
+        addresses: NodeAddresses,
+        bounds: Bounds,
+        platform: Platform,
+        clock: Clock,
+    ) -> None:
+        self.clock = clock
+        self.platform = platform
+        self.draining = False
+        self.task: Greenlet | None = None
+        self.state = EntryState(name, place, bounds, clock)
+        self.placer = Placer(self.state)
+        self.links = Links(platform.names.request_id, clock)
+        self.forwarder = Forwarder(self.state, self.placer, self.links, platform.names)
+        me = NodeInfo(
+            name,
+            run_id,
+            addresses.entry,
+            addresses.peer,
+            place.failure_domain,
+            place.region,
+        )
+        self.membership = Membership(me, platform, self.state, self.is_ready)
+        self.upstream_feed = UpstreamFeed(
+            self.state.upstreams,
+            platform.decode_upstream,
+            clock,
+            self.state.chooser.forget_orders,
+        )
+        self.feeds = self._feeds(stable_hash(name))
+        self.entry = Listener(
+            addresses.entry, self.forwarder, lambda: self.state.limits, clock
+        )
+        self.listeners = [self.entry, *self._service_listeners(addresses)]
+
+    def is_ready(self) -> bool:
+        """Tell whether this node can serve callers and is staying."""
+        known = self.state.routes.config is not None and self.upstream_feed.known
+        return known and not self.draining
+
+    def start(self) -> None:
+        """Listen, and learn from the platform."""
+        for feed in self.feeds:
+            feed.start()
+        self.membership.start()
+        self.placer.start()
+        self.task = gevent.spawn(self.expire)
+        for listener in self.listeners:
+            listener.start()
+        _LOGGER.info("node: Started %s.", self.state.node)
+
+    def stop(self) -> bool:
+        """Drain and close; return False if requests were cut."""
+        _LOGGER.info("node: Draining.")
+        grace_ms = self.state.bounds.stop_grace_ms - DRAIN_MARGIN_MS
+        end_ms = self.clock.now_ms() + grace_ms
+        self.draining = True
+        self.membership.leave()
+        self.entry.start_draining()
+        gevent.sleep(min(DRAIN_SERVE_MS, grace_ms) / MS_PER_SECOND)
+        self.entry.start_draining()
+        whole = self.entry.await_idle(max(0, end_ms - self.clock.now_ms()))
+        self.close()
+        _LOGGER.info("node: Stopped, all requests answered: %s.", whole)
+        return whole
+
+    def close(self) -> None:
+        """Stop every part."""
+        for listener in self.listeners:
+            listener.close()
+        self.membership.close()
+        for feed in self.feeds:
+            feed.close()
+        self.placer.close()
+        if self.task is not None:
+            self.task.kill()
+            self.task = None
+        self.links.close()
+
+    def expire(self) -> None:
+        """Drop what is too old, at each tick."""
+        while True:
+            gevent.sleep(EXPIRE_TICK_MS / MS_PER_SECOND)
+            now_ms = self.clock.now_ms()
+            self.upstream_feed.expire(now_ms)
+            self.state.loads.expire(now_ms)
+
+    def install(self, config: RoutingConfig) -> bool:
+        """Take over a newer configuration."""
+        installed = self.state.install(config)
+        if installed:
+            self.upstream_feed.pools = config.pools
+        return installed
+
+    def evacuate(self, domains: frozenset[str]) -> None:
+        """Keep requests out of `domains`; warm up those taken back."""
+        back = self.state.upstreams.evacuate(domains)
+        _LOGGER.info("node: Evacuated %s, back %s.", sorted(domains), sorted(back))
+        now_ms = self.clock.now_ms()
+        for upstream in self.state.upstreams.by_name.values():
+            if upstream.spec.failure_domain in back:
+                pool = self.state.pool(upstream.spec.service)
+                self.state.upstreams.chill(
+                    upstream, pool.cold_start_ms, pool.cold_per_s, now_ms
+                )
+
+    def _feeds(self, seed: int) -> list[Feed]:
+        kinds = self.platform.kinds
+        config = ConfigFeed(
+            kinds.config_name, self.platform.decode_config, self.install
+        )
+        listeners: list[tuple[str, FeedListener]] = [
+            (kinds.config, config),
+            (kinds.upstreams, self.upstream_feed),
+            (kinds.evacuations, NamesFeed(self.evacuate)),
+            (kinds.nodes, self.membership),
+        ]
+        return [
+            Feed(kind, self.platform.source, listener, seed + index)
+            for index, (kind, listener) in enumerate(listeners)
+        ]
+
+    def _service_listeners(self, addresses: NodeAddresses) -> list[Listener]:
+        ready = ReadyHandler(self.platform.ready_path, self.is_ready)
+        directory = DirectoryHandler(self.platform, self.membership.points)
+        return [
+            Listener(addresses.readiness, ready, CallerLimits, self.clock),
+            Listener(addresses.directory, directory, CallerLimits, self.clock),
+        ]
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/placing.py
@@ -0,0 +1,161 @@
+"""Find room for requests, at once or after a wait in the queue."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import gevent
+from gevent import Greenlet
+from gevent.event import AsyncResult
+
+from bilberry_balance.placement.admission import Refusal, StartRate, admit
+from bilberry_balance.placement.chooser import Choice, Need, NoChoice
+from bilberry_balance.placement.queue import Waiting, WaitQueue
+from bilberry_balance.placement.upstream import Upstream
+from bilberry_balance.placement.work_times import Warmth
+from bilberry_core.const import MS_PER_SECOND
+
+from .const import QUEUE_MISSES, QUEUE_TICK_MS
+from .state import EntryState
+
+DEFAULT_RETRY_AFTER_MS = 500
+
+
+@dataclass(slots=True)
+class PlaceRequest:
+    """Ask for room; times in monotonic ms.
+
+    `target_at_ms` is when the objective ends, `ends_at_ms` when the caller
+    gets its final answer.
+    """
+
+    need: Need
+    priority: int
+    target_at_ms: int
+    ends_at_ms: int
+    granted: AsyncResult = field(default_factory=AsyncResult)
+
+
+@dataclass(slots=True)
+class ServiceQueue:
+    """Hold what waits for one service and how fast it starts."""
+
+    queue: WaitQueue[PlaceRequest] = field(default_factory=WaitQueue)
+    rate: StartRate = field(default_factory=StartRate)
+
+
+class Placer:
+    """Own the queues of all services."""
+
+    __slots__ = ("queues", "state", "task")
+
+    def __init__(self, state: EntryState) -> None:
+        self.state = state
+        self.queues: dict[str, ServiceQueue] = {}
+        self.task: Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to serve the queues at each tick."""
+        self.task = gevent.spawn(self.run)
+
+    def close(self) -> None:
+        """Stop serving the queues."""
+        if self.task is not None:
+            self.task.kill()
+            self.task = None
+
+    def run(self) -> None:
+        """Offer room as load reports and heartbeats change it."""
+        while True:
+            gevent.sleep(QUEUE_TICK_MS / MS_PER_SECOND)
+            for service in list(self.queues):
+                self.pump(service)
+
+    def place(
+        self, request: PlaceRequest, watch: Callable[[Callable[[], None]], None]
+    ) -> Choice | Refusal:
+        """Return an upstream with room, waiting for it when worthwhile.
+
+        `watch` is given a function to call when the caller hangs up.
+        """
+        held = self.queues.setdefault(request.need.service, ServiceQueue())
+        now_ms = self.state.clock.now_ms()
+        if not held.queue.ahead_of(request.priority):
+            choice = self.try_place(request.need)
+            if isinstance(choice, Choice):
+                held.rate.note(now_ms)
+                return choice
+            if choice is NoChoice.NO_UPSTREAM:
+                return Refusal(DEFAULT_RETRY_AFTER_MS)
+        return self.wait(request, held, watch, now_ms)
+
+    def wait(
+        self,
+        request: PlaceRequest,
+        held: ServiceQueue,
+        watch: Callable[[Callable[[], None]], None],
+        now_ms: int,
+    ) -> Choice | Refusal:
+        """Queue a request until it gets room or can't make it any more."""
+        work_ms = request.need.work.expected_ms(Warmth.KNOWN)
+        expected_ms = held.rate.wait_ms(held.queue.ahead_of(request.priority), now_ms)
+        refusal = admit(expected_ms, request.ends_at_ms - now_ms, work_ms)
+        if refusal is not None:
+            return refusal
+        give_up_ms = request.ends_at_ms - int(work_ms)
+        in_time_ms = request.target_at_ms - int(work_ms)
+        entry = Waiting(request, request.priority, in_time_ms, give_up_ms)
+        held.queue.push(entry)
+        watch(lambda: request.granted.set(None))
+        wait_s = max(0, give_up_ms - now_ms) / MS_PER_SECOND
+        try:
+            choice = request.granted.get(timeout=wait_s)
+        except gevent.Timeout:
+            choice = None
+        held.queue.discard(entry)
+        if choice is None:
+            return Refusal(max(DEFAULT_RETRY_AFTER_MS, expected_ms))
+        return choice
+
+    def pump(self, service: str) -> None:
+        """Give room to queued requests in their order."""
+        held = self.queues.get(service)
+        if held is None or not held.queue.waiting:
+            return
+        now_ms = self.state.clock.now_ms()
+
+        def accept(request: PlaceRequest) -> bool:
+            choice = self.try_place(request.need)
+            if not isinstance(choice, Choice):
+                return False
+            held.rate.note(now_ms)
+            request.granted.set(choice)
+            return True
+
+        held.queue.take(accept, now_ms, QUEUE_MISSES)
+
+    def try_place(self, need: Need) -> Choice | NoChoice:
+        """Choose an upstream now and take its room."""
+        state = self.state
+        now_ms = state.clock.now_ms()
+        choice = state.chooser.choose(
+            need, state.upstreams.takes_work, state.guard.allowed, now_ms
+        )
+        if isinstance(choice, Choice):
+            self.take(choice.upstream, need, now_ms)
+        return choice
+
+    def take(self, upstream: Upstream, need: Need, now_ms: int) -> None:
+        """Count a request at its upstream."""
+        state = self.state
+        upstream.in_flight += 1
+        state.guard.note(upstream.spec.region, now_ms)
+        if upstream.is_cold(now_ms):
+            cold_per_s = state.pool(need.service).cold_per_s
+            state.cold_turns.take(upstream, cold_per_s, now_ms)
+        if need.key:
+            upstream.note_key(need.key, now_ms)
+
+    def release(self, upstream: Upstream) -> None:
+        """Give the room of an ended request back."""
+        upstream.in_flight -= 1
+        self.pump(upstream.spec.service)
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/platform.py
@@ -0,0 +1,62 @@
+"""What the entry needs of the platform it runs on."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from bilberry_core.outcome import Result
+from bilberry_fleet.discovery.config import ConfigDecoder
+from bilberry_fleet.discovery.nodes import NodeInfo
+from bilberry_fleet.discovery.source import ObjectSource, Record
+from bilberry_fleet.discovery.upstreams import UpstreamDecoder
+from bilberry_store.errors import StoreError
+
+from .messages import HeaderNames
+
+
+@dataclass(slots=True, frozen=True)
+class Kinds:
+    """Name the kinds of objects; `config_name` is the object of its kind."""
+
+    config: str
+    config_name: str
+    upstreams: str
+    evacuations: str
+    nodes: str
+
+
+@dataclass(slots=True, frozen=True)
+class DirectoryQuery:
+    """Tell where a caller is."""
+
+    failure_domain: str
+    region: str
+
+
+class NodeRegister(Protocol):
+    """Keep this node's entry in the platform's store."""
+
+    def put(self, node: NodeInfo) -> Result[None, StoreError]:
+        """Write or replace the node's entry."""
+        ...
+
+    def delete(self, name: str) -> Result[None, StoreError]:
+        """Remove a node's entry."""
+        ...
+
+
+@dataclass(slots=True, frozen=True)
+class Platform:
+    """Hold the names, formats and calls of a platform."""
+
+    kinds: Kinds
+    names: HeaderNames
+    source: ObjectSource
+    register: NodeRegister
+    decode_config: ConfigDecoder
+    decode_upstream: UpstreamDecoder
+    decode_node: Callable[[Record], Result[NodeInfo, str]]
+    decode_query: Callable[[str], DirectoryQuery | None]
+    encode_addresses: Callable[[list[str], int], bytes]
+    ready_path: str
+    directory_path: str
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/reading.py
@@ -0,0 +1,39 @@
+"""Tell what an upstream's answer means."""
+
+from http import HTTPStatus
+
+from bilberry_balance.outcomes import FailurePoint
+
+from .heads import HEADER_ENCODING
+from .links import Outcome
+from .messages import HeaderNames
+
+STATUS_OK = range(200, 300)
+
+
+def read_point(outcome: Outcome, names: HeaderNames) -> FailurePoint | None:
+    """Return why a whole answer can't be passed on, None if it can.
+
+    Only the upstream's own word, or that of the upstream which took over
+    its address, proves that nothing ran.
+    """
+    parser = outcome.parser
+    if outcome.point is not None or parser is None:
+        return outcome.point
+    if parser.status == HTTPStatus.MISDIRECTED_REQUEST:
+        return FailurePoint.SHED_NOT_RUN
+    if parser.first(names.not_run.lower()) is not None:
+        return FailurePoint.SHED_NOT_RUN
+    if parser.first(names.digest.lower()) is None:
+        return FailurePoint.MALFORMED_ANSWER
+    if parser.first(names.request_id.lower()) is None:
+        return FailurePoint.MALFORMED_ANSWER
+    if parser.first(HEADER_ENCODING) is not None and parser.status in STATUS_OK:
+        return FailurePoint.MALFORMED_ANSWER
+    return None
+
+
+def is_own_failure(outcome: Outcome) -> bool:
+    """Tell whether an upstream answered with a failure of its own."""
+    parser = outcome.parser
+    return parser is not None and parser.status >= HTTPStatus.INTERNAL_SERVER_ERROR
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/services.py
@@ -0,0 +1,64 @@
+"""Answer the platform's readiness checks and callers' directory queries."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+from bilberry_steering.nearest import EntryPoint, nearest
+
+from ..const import CONTENT_JSON
+from ..http.head import RequestHead
+from .const import DIRECTORY_TTL_MS, MAX_DIRECTORY_NODES
+from .messages import EntryAnswer, EntryRequest, own_answer
+from .platform import Platform
+
+
+class ReadyHandler:
+    """Tell whether this node should get callers."""
+
+    __slots__ = ("is_ready", "path")
+
+    def __init__(self, path: str, is_ready: Callable[[], bool]) -> None:
+        self.path = path
+        self.is_ready = is_ready
+
+    def may_overlap(self, head: RequestHead) -> bool:
+        """Tell that checks don't wait for one another."""
+        return True
+
+    def handle(self, request: EntryRequest) -> EntryAnswer:
+        """Answer a check."""
+        if request.head.path != self.path:
+            return own_answer(HTTPStatus.NOT_FOUND, "no such page")
+        if self.is_ready():
+            return own_answer(HTTPStatus.OK, "ready")
+        return own_answer(HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
+
+
+class DirectoryHandler:
+    """Name the nodes that a caller should use."""
+
+    __slots__ = ("platform", "points")
+
+    def __init__(
+        self, platform: Platform, points: Callable[[], list[EntryPoint]]
+    ) -> None:
+        self.platform = platform
+        self.points = points
+
+    def may_overlap(self, head: RequestHead) -> bool:
+        """Tell that queries don't wait for one another."""
+        return True
+
+    def handle(self, request: EntryRequest) -> EntryAnswer:
+        """Answer a query."""
+        if request.head.path != self.platform.directory_path:
+            return own_answer(HTTPStatus.NOT_FOUND, "no such page")
+        query = self.platform.decode_query(request.head.query)
+        if query is None:
+            return own_answer(HTTPStatus.BAD_REQUEST, "the caller's place is missing")
+        named = nearest(self.points(), query.failure_domain, query.region)
+        if not named:
+            return own_answer(HTTPStatus.SERVICE_UNAVAILABLE, "no node is ready")
+        addresses = [point.address for point in named[:MAX_DIRECTORY_NODES]]
+        body = self.platform.encode_addresses(addresses, DIRECTORY_TTL_MS)
+        return EntryAnswer(HTTPStatus.OK, [("Content-Type", CONTENT_JSON)], body)
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -0,0 +1,118 @@
+"""What the parts of the entry share on one node."""
+
+from dataclasses import dataclass, field
+
+from bilberry_balance.placement.chooser import Chooser, Place
+from bilberry_balance.placement.cold_turns import ColdTurns
+from bilberry_balance.placement.directory import UpstreamDirectory
+from bilberry_balance.placement.peer_loads import PeerLoads
+from bilberry_balance.placement.work_times import WorkTimes
+from bilberry_balance.retry import RetryBudget
+from bilberry_core.clock import Clock
+from bilberry_core.ids import stable_hash
+from bilberry_resources.routing import CallerLimits, PoolRule, RouteRule, RoutingConfig
+from bilberry_steering.route_table import RouteTable
+from bilberry_steering.shift_guard import ShiftGuard
+
+from .const import RETRY_PART
+
+
+@dataclass(slots=True, frozen=True)
+class Bounds:
+    """Hold the bounds that the operator sets for all nodes together.
+
+    Retries of a service may be `retry_part` of its requests plus
+    `retry_slack` in any span of `retry_span_ms`; `max_region_shift` is the
+    largest part of a region's requests that may change region in 2 s.
+    """
+
+    retry_part: float
+    retry_slack: float
+    retry_span_ms: int
+    max_region_shift: float
+    stop_grace_ms: int
+
+
+@dataclass(slots=True)
+class EntryState:
+    """Own what this node knows: routes, upstreams, loads and budgets."""
+
+    node: str
+    place: Place
+    bounds: Bounds
+    clock: Clock
+    routes: RouteTable = field(init=False)
+    cold_turns: ColdTurns = field(init=False)
+    upstreams: UpstreamDirectory = field(init=False)
+    loads: PeerLoads = field(init=False)
+    chooser: Chooser = field(init=False)
+    guard: ShiftGuard = field(init=False)
+    work: dict[str, WorkTimes] = field(default_factory=dict)
+    retries: dict[str, RetryBudget] = field(default_factory=dict)
+    known_nodes: int = 1
+
+    def __post_init__(self) -> None:
+        """Build the parts."""
+        self.routes = RouteTable(stable_hash(self.node))
+        self.cold_turns = ColdTurns(self.node)
+        self.upstreams = UpstreamDirectory(self.cold_turns)
+        self.loads = PeerLoads()
+        self.chooser = Chooser(
+            self.place, self.upstreams.pools, self.loads, self.cold_turns
+        )
+        self.guard = ShiftGuard(self.bounds.max_region_shift)
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits of callers now in force."""
+        config = self.routes.config
+        return config.limits if config else CallerLimits()
+
+    def pool(self, service: str) -> PoolRule:
+        """Return the rules of a service's upstreams."""
+        config = self.routes.config
+        found = config.pools.get(service) if config else None
+        return found or PoolRule(service)
+
+    def install(self, config: RoutingConfig) -> bool:
+        """Take over a newer configuration; return whether it was newer."""
+        return self.routes.install(config)
+
+    def work_times(self, rule: RouteRule, service: str) -> WorkTimes:
+        """Return how long requests of a route take at a service."""
+        name = f"{rule.name}@{service}"
+        found = self.work.get(name)
+        if found is None:
+            found = WorkTimes.starting(rule.target_ms)
+            self.work[name] = found
+        return found
+
+    def retry_budget(self, service: str) -> RetryBudget:
+        """Return this node's part of a service's retries."""
+        found = self.retries.get(service)
+        if found is None:
+            nodes = self.cold_turns.nodes
+            burst = max(1.0, self.bounds.retry_slack * RETRY_PART / nodes)
+            found = RetryBudget(self.bounds.retry_part * RETRY_PART, burst, 0.0)
+            self.retries[service] = found
+        return found
+
+    def set_known_nodes(self, count: int) -> None:
+        """Cut the shares for `count` nodes, this one included."""
+        if count == self.known_nodes:
+            return
+        self.known_nodes = count
+        self.cold_turns.set_nodes(count)
+        nodes = self.cold_turns.nodes
+        burst = max(1.0, self.bounds.retry_slack * RETRY_PART / nodes)
+        for budget in self.retries.values():
+            budget.burst = burst
+            budget.tokens = min(budget.tokens, burst)
+
+    def in_flight(self) -> dict[str, int]:
+        """Return this node's requests at each upstream, zeros left out."""
+        return {
+            name: upstream.in_flight
+            for name, upstream in self.upstreams.by_name.items()
+            if upstream.in_flight
+        }
--- a/packages/bilberry_router/src/bilberry_router/forward/answer.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/answer.py
@@ -1,6 +1,6 @@
 """Parse an upstream's answer and know when it is whole."""
 
-from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
+import httptools
 
 from ..http.head import connection_options
 from .const import (
@@ -17,32 +17,50 @@
 BODILESS_STATUSES = frozenset({204, 304})
 
 
-class AnswerParser(HTTPResponseParser):
+class AnswerError(Exception):
+    """Report bytes that are no answer this node may pass on."""
+
+
+class AnswerParser:
     """Collect one answer from the bytes of a connection.
 
     `fault` is set when the bytes are no valid answer, `leftover` when
     bytes came after its end, `interim` once a 1xx answer has begun.
+    With `id_header`, in lower case, answers that name another request than
+    `request_id` are skipped and counted in `skipped`. With `until_close` an
+    answer of unknown length ends with its connection.
     """
 
-    def __init__(self, method: str) -> None:
-        super().__init__()
+    def __init__(
+        self,
+        method: str,
+        id_header: str = "",
+        request_id: str = "",
+        until_close: bool = False,
+    ) -> None:
         self.method = method
+        self.id_header = id_header
+        self.request_id = request_id
+        self.until_close = until_close
+        self.parser = httptools.HttpResponseParser(self)
         self.headers: list[tuple[str, str]] = []
         self.reason = ""
-        self.parts: list[bytearray] = []
+        self.parts: list[bytes] = []
         self.head_complete = False
         self.complete = False
+        self.framed = True
         self.leftover = False
         self.started = False
         self.interim = False
+        self.keep_alive = False
+        self.skipped = 0
         self.fault = ""
-        self.name_open = False
         self.head_bytes = 0
 
     @property
     def status(self) -> int:
         """Return the answer's status."""
-        code: int = self.get_code()
+        code: int = self.parser.get_status_code()
         return code
 
     @property
@@ -50,7 +68,7 @@
         """Tell whether the connection may carry another request."""
         if not self.complete or self.leftover or self.fault:
             return False
-        return self.keep_alive
+        return self.keep_alive and self.framed
 
     def receive(self, data: bytes) -> None:
         """Take the next bytes of the connection."""
@@ -59,12 +77,17 @@
             return
         self.started = True
         try:
-            self.feed(data)
-        except HTTPParseError as error:
-            if self.complete:
-                self.leftover = True
-            else:
-                self.fault = self.fault or str(error)
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._note_fault("unasked switch of protocols")
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            self._note_fault(str(cause if isinstance(cause, AnswerError) else error))
+
+    def receive_end(self) -> None:
+        """Note that the upstream closed the connection in order."""
+        if self.head_complete and not self.framed and not self.fault:
+            self.complete = True
 
     def take_parts(self) -> bytes:
         """Return and forget the body bytes that have come so far."""
@@ -83,70 +106,88 @@
                 return value
         return None
 
-    def _on_message_begin(self) -> None:
+    def on_message_begin(self) -> None:
+        """Note bytes after the end; called by the parser."""
         if self.complete:
             self.leftover = True
 
-    def _on_status(self, reason: str) -> None:
+    def on_status(self, reason: bytes) -> None:
+        """Take the reason phrase; called by the parser."""
         if not self.complete:
-            self.reason += reason
-
-    def _on_header_field(self, text: str) -> None:
-        if self.complete or self.head_complete:
-            return
-        self._count(text)
-        if self.name_open:
-            name, value = self.headers[-1]
-            self.headers[-1] = (name + text, value)
-            return
-        self.headers.append((text, ""))
-        self.name_open = True
+            self.reason += reason.decode("latin-1")
 
-    def _on_header_value(self, text: str) -> None:
+    def on_header(self, name: bytes, value: bytes | None) -> None:
+        """Take a header; called by the parser."""
         if self.complete or self.head_complete:
             return
-        self._count(text)
-        self.name_open = False
-        name, value = self.headers[-1]
-        self.headers[-1] = (name, value + text)
+        value = value or b""
+        self.head_bytes += len(name) + len(value)
+        if self.head_bytes > MAX_ANSWER_HEAD_BYTES:
+            raise AnswerError("the answer's head is too large")
+        self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
-    def _on_headers_complete(self) -> bool:
+    def on_headers_complete(self) -> None:
+        """Check the head; called by the parser."""
         if self.complete:
-            return True
-        self.name_open = False
-        status = self.get_code()
+            return
+        if self.head_bytes > MAX_ANSWER_HEAD_BYTES:
+            raise AnswerError("the answer's head is too large")
+        status = self.status
         if status == STATUS_SWITCHING:
-            raise HTTPParseError("unasked switch of protocols")
+            raise AnswerError("unasked switch of protocols")
         if status < FIRST_FINAL_STATUS:
             self.interim = True
-            return False
+            return
         self.head_complete = True
-        self.keep_alive = self.should_keep_alive()
+        self.keep_alive = self.parser.should_keep_alive()
         if "close" in connection_options(self.values(HEADER_CONNECTION)):
             self.keep_alive = False
         bodiless = self.method == METHOD_HEAD or status in BODILESS_STATUSES
-        if not bodiless and not self._is_framed():
-            raise HTTPParseError("the answer's length is not told")
-        return self.method == METHOD_HEAD
+        self.framed = bodiless or self._is_framed()
+        if not self.framed and not self.until_close:
+            raise AnswerError("the answer's length is not told")
+        if bodiless:
+            self.complete = True
 
-    def _on_body(self, data: bytearray) -> None:
-        if not self.complete:
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body; called by the parser."""
+        if self.complete:
+            self.leftover = True
+        else:
             self.parts.append(data)
 
-    def _on_message_complete(self) -> None:
-        if self.head_complete:
+    def on_message_complete(self) -> None:
+        """Note the end of an answer; called by the parser."""
+        if self.complete:
+            return
+        if self.head_complete and not self._is_for_another():
             self.complete = True
             return
+        if self.head_complete:
+            self.skipped += 1
+        self._start_anew()
+
+    def _start_anew(self) -> None:
         self.headers.clear()
+        self.parts.clear()
         self.reason = ""
+        self.head_complete = False
+        self.head_bytes = 0
+
+    def _is_for_another(self) -> bool:
+        if not self.id_header:
+            return False
+        named = self.first(self.id_header)
+        return named is not None and named != self.request_id
+
+    def _note_fault(self, reason: str) -> None:
+        if self.complete:
+            self.leftover = True
+        else:
+            self.fault = self.fault or reason
 
     def _is_framed(self) -> bool:
         codings = self.values(HEADER_TRANSFER_ENCODING)
         if codings:
             return len(codings) == 1 and codings[0].lower() == CODING_CHUNKED
         return bool(self.values(HEADER_CONTENT_LENGTH))
-
-    def _count(self, text: str) -> None:
-        self.head_bytes += len(text)
-        if self.head_bytes > MAX_ANSWER_HEAD_BYTES:
-            raise HTTPParseError("the answer's head is too large")
--- a/packages/bilberry_router/src/bilberry_router/forward/transport.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/transport.py
@@ -9,11 +9,11 @@
 
 from gevent import socket as gevent_socket
 
+from bilberry_core.address import split_address
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.outcome import Failure, Result, Success
 
-from ..http.server import split_address
 from .const import (
     DEFAULT_DIAL_TIMEOUT_MS,
     DEFAULT_DISTRUST_MS,
--- a/packages/bilberry_router/src/bilberry_router/http/server.py
+++ b/packages/bilberry_router/src/bilberry_router/http/server.py
@@ -8,6 +8,7 @@
 from gevent import pywsgi
 from gevent.pool import Pool
 
+from bilberry_core.address import split_address
 from bilberry_core.clock import Clock, SystemClock
 from bilberry_core.const import MS_PER_SECOND
 
@@ -19,12 +20,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of an `ip:port` address."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 class Server(pywsgi.WSGIServer):
     """Serve one application without Nagle's algorithm.
 
--- a/packages/bilberry_store/src/bilberry_store/http.py
+++ b/packages/bilberry_store/src/bilberry_store/http.py
@@ -16,6 +16,7 @@
 from geventhttpclient.connectionpool import ConnectionPool
 from geventhttpclient.response import HTTPParseError
 
+from bilberry_core.address import split_address
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.outcome import Failure, Result, Success
 from bilberry_resources.compression import (
@@ -169,14 +170,6 @@
         return client
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Return host and port of `ip:port` or of a plain HTTP URL."""
-    plain = address.removeprefix("http://").rstrip("/")
-    host, _, port = plain.rpartition(":")
-    assert host, f"no port in address {address!r}"
-    return host.strip("[]"), int(port)
-
-
 def _call(
     client: HTTPClient,
     method: str,
