Keep affinity under load, and admit by the objective

Change: under load only the first ranks of a key take it, the rest waits; a request whose expected wait passes its objective is refused at once.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/admission.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/admission.py
@@ -54,11 +54,8 @@
     retry_after_ms: int
 
 
-def admit(wait_ms: int, left_ms: int, work_ms: float) -> Refusal | None:
-    """Return None when the wait leaves time enough for the work.
-
-    `left_ms` is the time until the caller gets its final answer anyway.
-    """
-    if wait_ms + work_ms <= left_ms:
+def admit(wait_ms: int, may_wait_ms: int) -> Refusal | None:
+    """Return None when the expected wait is not longer than allowed."""
+    if wait_ms <= may_wait_ms:
         return None
     return Refusal(max(MIN_RETRY_AFTER_MS, wait_ms))
--- a/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
@@ -5,7 +5,7 @@
 that is short of room spills into others before a queue builds up.
 """
 
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -13,6 +13,7 @@
 
 from .cold_turns import ColdTurns
 from .const import (
+    BUSY_PART,
     COLD_WORK_FACTOR,
     OTHER_REGION_MS,
     OTHER_REGION_RESERVE,
@@ -98,46 +99,59 @@
         fitting = [u for u in pool.values() if usable(u) and _fits(u, need)]
         if not fitting:
             return NoChoice.NO_UPSTREAM
+        loads = {
+            u.name: u.load(self.loads.at(u.name), now_ms) / u.spec.slots
+            for u in fitting
+        }
         regions = allowed(sorted({u.spec.region for u in fitting}), now_ms)
+        busy = self._is_home_busy(fitting, loads)
         best: Choice | None = None
         best_cost = 0.0
-        for choice, cost in self._offers(need, fitting, regions, now_ms):
+        for upstream in fitting:
+            if upstream.spec.region not in regions:
+                continue
+            if not self._has_room(upstream, loads[upstream.name], now_ms):
+                continue
+            warmth = _warmth(upstream, need.key, self._ranks(need), now_ms)
+            if not self._keeps_affinity(upstream, warmth, busy):
+                continue
+            expected_ms = _expected_ms(upstream, need.work, warmth, now_ms)
+            cost = expected_ms + self._distance_ms(upstream)
+            cost += BALANCE_MS * loads[upstream.name]
             if best is None or cost < best_cost:
-                best, best_cost = choice, cost
+                best, best_cost = Choice(upstream, warmth, expected_ms), cost
         return best or NoChoice.NO_ROOM
 
     def forget_ranks(self) -> None:
         """Drop the cached ranks; call when a pool changes."""
         self.ranks.clear()
 
-    def _offers(
-        self, need: Need, fitting: list[Upstream], regions: list[str], now_ms: int
-    ) -> Iterator[tuple[Choice, float]]:
-        ranks = self._ranks(need)
-        for upstream in fitting:
-            if upstream.spec.region not in regions:
-                continue
-            if not self._has_room(upstream, now_ms):
-                continue
-            warmth = _warmth(upstream, need.key, ranks, now_ms)
-            expected_ms = need.work.expected_ms(warmth)
-            expected_ms *= upstream.slow_factor(now_ms)
-            if upstream.is_cold(now_ms):
-                expected_ms *= COLD_WORK_FACTOR
-            load = upstream.load(self.loads.at(upstream.name), now_ms)
-            cost = expected_ms + self._distance_ms(upstream)
-            cost += BALANCE_MS * load / upstream.spec.slots
-            yield Choice(upstream, warmth, expected_ms), cost
+    def _is_home_busy(self, fitting: list[Upstream], loads: dict[str, float]) -> bool:
+        """Tell whether this region has little room for work that isn't warm."""
+        home = [loads[u.name] for u in fitting if u.spec.region == self.place.region]
+        return bool(home) and sum(home) >= BUSY_PART * len(home)
+
+    def _keeps_affinity(self, upstream: Upstream, warmth: Warmth, busy: bool) -> bool:
+        """Tell whether the upstream may take an object it may not know.
+
+        Work on an unknown object takes several times as long, and displaces
+        another object: under load, or far away, only first ranks do it.
+        """
+        if warmth is Warmth.KNOWN or warmth is Warmth.FIRST_RANK:
+            return True
+        if upstream.spec.region != self.place.region:
+            return False
+        return warmth is Warmth.SECOND_RANK or not busy
 
-    def _has_room(self, upstream: Upstream, now_ms: int) -> bool:
+    def _has_room(self, upstream: Upstream, load: float, now_ms: int) -> bool:
         if upstream.is_blocked(now_ms):
             return False
         if upstream.is_cold(now_ms) and not self.cold_turns.is_due(upstream, now_ms):
             return False
-        slots: float = upstream.spec.slots
+        most = 1.0
         if upstream.spec.region != self.place.region:
-            slots *= 1 - OTHER_REGION_RESERVE
-        return upstream.load(self.loads.at(upstream.name), now_ms) + 1 <= slots
+            most -= OTHER_REGION_RESERVE
+        return load + 1 / upstream.spec.slots <= most
 
     def _distance_ms(self, upstream: Upstream) -> float:
         if upstream.spec.failure_domain == self.place.failure_domain:
@@ -169,15 +183,22 @@
         return ranks
 
 
+def _expected_ms(
+    upstream: Upstream, work: WorkTimes, warmth: Warmth, now_ms: int
+) -> float:
+    expected_ms = work.expected_ms(warmth) * upstream.slow_factor(now_ms)
+    if upstream.is_cold(now_ms):
+        expected_ms *= COLD_WORK_FACTOR
+    return expected_ms
+
+
 def _fits(upstream: Upstream, need: Need) -> bool:
     if upstream.name in need.excluded:
         return False
     return not need.home_regions or upstream.spec.region in need.home_regions
 
 
-def _warmth(
-    upstream: Upstream, key: str, ranks: dict[str, int], now_ms: int
-) -> Warmth:
+def _warmth(upstream: Upstream, key: str, ranks: dict[str, int], now_ms: int) -> Warmth:
     if not key or upstream.is_warm(key, now_ms):
         return Warmth.KNOWN
     rank = ranks[upstream.name]
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -207,7 +207,9 @@
             run.tried,
         )
         target_at_ms = run.request.arrived_ms + rule.target_ms
-        return PlaceRequest(need, rule.priority, target_at_ms, run.ends_at_ms)
+        return PlaceRequest(
+            need, rule.priority, rule.target_ms, target_at_ms, run.ends_at_ms
+        )
 
 
 def watch_of(run: Run) -> Callable[[Callable[[], None]], None]:
--- a/packages/bilberry_router/src/bilberry_router/entry/placing.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placing.py
@@ -9,6 +9,7 @@
 
 from bilberry_balance.placement.admission import Refusal, StartRate, admit
 from bilberry_balance.placement.chooser import Choice, Need, NoChoice
+from bilberry_balance.placement.const import LATE_WAIT_PART
 from bilberry_balance.placement.queue import Waiting, WaitQueue
 from bilberry_balance.placement.upstream import Upstream
 from bilberry_balance.placement.work_times import Warmth
@@ -24,12 +25,13 @@
 class PlaceRequest:
     """Ask for room; times in monotonic ms.
 
-    `target_at_ms` is when the objective ends, `ends_at_ms` when the caller
-    gets its final answer.
+    `target_ms` is the latency objective, `target_at_ms` when it ends, and
+    `ends_at_ms` when the caller gets its final answer.
     """
 
     need: Need
     priority: int
+    target_ms: int
     target_at_ms: int
     ends_at_ms: int
     granted: AsyncResult = field(default_factory=AsyncResult)
@@ -43,6 +45,21 @@
     rate: StartRate = field(default_factory=StartRate)
 
 
+@dataclass(slots=True, frozen=True)
+class WaitTimes:
+    """Hold until when a start makes the objective, or any sense."""
+
+    in_time_ms: int
+    give_up_ms: int
+
+
+def wait_times(request: PlaceRequest, work_ms: int) -> WaitTimes:
+    """Return until when a request may wait, for work of `work_ms`."""
+    in_time_ms = request.target_at_ms - work_ms
+    late_ms = in_time_ms + int(request.target_ms * LATE_WAIT_PART)
+    return WaitTimes(in_time_ms, min(late_ms, request.ends_at_ms - work_ms))
+
+
 class Placer:
     """Own the queues of all services."""
 
@@ -98,11 +115,11 @@
         """Queue a request until it gets room or can't make it any more."""
         work_ms = request.need.work.expected_ms(Warmth.KNOWN)
         expected_ms = held.rate.wait_ms(held.queue.ahead_of(request.priority), now_ms)
-        refusal = admit(expected_ms, request.ends_at_ms - now_ms, work_ms)
+        times = wait_times(request, int(work_ms))
+        refusal = admit(expected_ms, times.give_up_ms - now_ms)
         if refusal is not None:
             return refusal
-        give_up_ms = request.ends_at_ms - int(work_ms)
-        in_time_ms = request.target_at_ms - int(work_ms)
+        in_time_ms, give_up_ms = times.in_time_ms, times.give_up_ms
         entry = Waiting(request, request.priority, in_time_ms, give_up_ms)
         held.queue.push(entry)
         watch(lambda: request.granted.set(None))
