Test the placement of requests

Each test plays the load or fault that its decision answers: full and slow upstreams, cold turns over many nodes, ranks under load, homes, draining, evacuation, queue order and early refusal.

--- /dev/null
+++ b/tests/bilberry_balance/placement/common.py
@@ -0,0 +1,66 @@
+"""Build upstreams and choosers for the tests of placement."""
+
+from bilberry_balance.placement.chooser import Chooser, Need, NoChoice, Place
+from bilberry_balance.placement.cold_turns import ColdTurns
+from bilberry_balance.placement.directory import UpstreamDirectory
+from bilberry_balance.placement.peer_loads import PeerLoads
+from bilberry_balance.placement.upstream import UpstreamSpec
+from bilberry_balance.placement.work_times import WorkTimes
+
+TARGET_MS = 600
+SERVICE = "suivi"
+
+
+def spec(name, domain="mtl-a", slots=4, service=SERVICE, born_ms=0):
+    return UpstreamSpec(
+        name=name,
+        service=service,
+        address=f"10.0.0.1:{abs(hash(name)) % 60_000}",
+        failure_domain=domain,
+        region=domain.split("-")[0],
+        slots=slots,
+        born_ms=born_ms,
+    )
+
+
+def need(key="k", homes=(), excluded=(), work=None):
+    return Need(
+        SERVICE,
+        key,
+        work or WorkTimes.starting(TARGET_MS),
+        frozenset(homes),
+        excluded,
+    )
+
+
+def first(regions, now_ms):
+    """Pick the cheapest region, as without any bound."""
+    return regions[0] if regions else None
+
+
+HERE = Place("mtl-a", "mtl")
+
+
+class Fleet:
+    """Hold the upstreams of one service as one node sees them."""
+
+    def __init__(self, *specs, place=HERE, nodes=1):
+        self.turns = ColdTurns("n1")
+        self.turns.set_nodes(nodes)
+        self.directory = UpstreamDirectory(self.turns)
+        self.loads = PeerLoads()
+        self.chooser = Chooser(place, self.directory.pools, self.loads, self.turns)
+        for item in specs:
+            self.directory.put(item, draining=False)
+
+    def __getitem__(self, name):
+        return self.directory.by_name[name]
+
+    def choose(self, a_need=None, now_ms=10_000, pick=first):
+        return self.chooser.choose(
+            a_need or need(), self.directory.takes_work, pick, now_ms
+        )
+
+    def name_of(self, a_need=None, now_ms=10_000, pick=first):
+        choice = self.choose(a_need, now_ms, pick)
+        return choice.value if isinstance(choice, NoChoice) else choice.upstream.name
--- /dev/null
+++ b/tests/bilberry_balance/placement/test_chooser.py
@@ -0,0 +1,112 @@
+"""Requests go where they are expected to end first, within the rules."""
+
+from bilberry_balance.placement.work_times import Warmth
+
+from .common import Fleet, need, spec
+
+
+def test_near_upstreams_go_before_far_ones():
+    fleet = Fleet(spec("far", "qc-a"), spec("near", "mtl-a"), spec("next", "mtl-b"))
+    assert fleet.name_of() in ("near", "next")
+
+
+def test_a_key_stays_with_one_upstream_of_its_region():
+    fleet = Fleet(*(spec(f"u{i}") for i in range(6)))
+    names = set()
+    for _ in range(20):
+        choice = fleet.choose(need("k7"))
+        names.add(choice.upstream.name)
+        choice.upstream.note_key("k7", 10_000)
+    assert len(names) == 1
+
+
+def test_nodes_agree_on_a_keys_upstream_without_talking():
+    specs = [spec(f"u{i}") for i in range(6)]
+    one, other = Fleet(*specs), Fleet(*reversed(specs))
+    for index in range(30):
+        key = f"k{index}"
+        assert one.name_of(need(key)) == other.name_of(need(key))
+
+
+def test_a_full_upstream_gets_nothing_from_own_and_peers_requests():
+    fleet = Fleet(spec("u0", slots=3), spec("far", "qc-a"))
+    fleet["u0"].in_flight = 1
+    fleet.loads.tell("n2", {"u0": 2}, 10_000)
+    assert fleet.name_of() == "far"
+    fleet.loads.forget("n2")
+    assert fleet.name_of() == "u0"
+
+
+def test_a_fresh_report_counts_for_what_peers_have_not_told():
+    fleet = Fleet(spec("u0", slots=3), spec("far", "qc-a"))
+    fleet["u0"].on_report(running=3, waiting=1, now_ms=10_000)
+    assert fleet.name_of() == "far"
+    assert fleet.name_of(now_ms=11_000) == "u0"
+
+
+def test_homes_bind_even_when_only_other_regions_have_room():
+    fleet = Fleet(spec("u0", slots=1), spec("far", "qc-a"))
+    fleet["u0"].in_flight = 1
+    assert fleet.name_of(need(homes=["mtl"])) == "no room"
+    assert fleet.name_of(need(homes=["sag"])) == "no upstream"
+
+
+def test_draining_and_evacuated_upstreams_get_nothing():
+    fleet = Fleet(spec("u0"), spec("u1", "mtl-b"))
+    fleet["u0"].draining = True
+    assert fleet.name_of() == "u1"
+    fleet.directory.evacuate(frozenset({"mtl-b"}))
+    assert fleet.name_of() == "no upstream"
+    assert fleet.directory.evacuate(frozenset()) == {"mtl-b"}
+    assert fleet.name_of() == "u1"
+
+
+def test_an_upstream_tried_before_is_not_tried_again():
+    fleet = Fleet(spec("u0"), spec("u1", "mtl-b"))
+    assert fleet.name_of(need(excluded=["u0"])) == "u1"
+
+
+def test_a_bound_on_regions_leaves_the_request_waiting():
+    fleet = Fleet(spec("u0", slots=1), spec("far", "qc-a"))
+    fleet["u0"].in_flight = 1
+    assert fleet.name_of(pick=lambda regions, now_ms: None) == "no room"
+
+
+def test_a_slow_upstream_loses_to_others_until_that_knowledge_fades():
+    fleet = Fleet(spec("u0"), spec("u1", "mtl-b"))
+    primary = fleet.choose().upstream
+    for _ in range(8):
+        primary.on_work(8.0, 10_000)
+    assert fleet.choose().upstream is not primary
+    assert fleet.choose(now_ms=60_000).upstream is primary
+
+
+def test_under_load_an_unknown_object_does_not_displace_others():
+    fleet = Fleet(*(spec(f"u{i}", slots=4) for i in range(4)))
+    for _ in range(2):
+        fleet.choose(need("k3")).upstream.in_flight = 4
+    others = [u for u in fleet.directory.by_name.values() if not u.in_flight]
+    assert fleet.choose(need("k3")).upstream in others
+    for upstream in others:
+        upstream.in_flight = 1
+    assert fleet.name_of(need("k3")) == "no room"
+    others[0].note_key("k3", 10_000)
+    assert fleet.choose(need("k3")).warmth is Warmth.KNOWN
+
+
+def test_far_away_only_the_first_rank_takes_an_unknown_object():
+    fleet = Fleet(
+        spec("u0", slots=1), *(spec(f"q{i}", "qc-a", slots=10) for i in range(3))
+    )
+    fleet["u0"].in_flight = 1
+    first = fleet.choose(need("k")).upstream
+    assert first.spec.region == "qc"
+    first.in_flight = 10
+    assert fleet.name_of(need("k")) == "no room"
+
+
+def test_far_upstreams_keep_some_room_for_their_own_region():
+    fleet = Fleet(spec("u0", slots=1), spec("far", "qc-a", slots=10))
+    fleet["u0"].in_flight = 1
+    fleet["far"].in_flight = 9
+    assert fleet.name_of() == "no room"
--- /dev/null
+++ b/tests/bilberry_balance/placement/test_cold_turns.py
@@ -0,0 +1,68 @@
+"""Cold upstreams get a small rate, summed over all nodes."""
+
+import pytest
+
+from bilberry_balance.placement.cold_turns import ColdTurns
+from bilberry_balance.placement.upstream import Upstream
+
+from .common import Fleet, spec
+
+COLD_PER_S = 6.4
+OVERAGE = 1.5
+SLACK = 5
+STEP_MS = 10
+COLD_MS = 3_000
+
+
+def arrivals(nodes, known):
+    """Send whenever a turn is due, at each of `nodes` nodes; return times."""
+    times = []
+    for index in range(nodes):
+        turns = ColdTurns(f"node-{index}")
+        turns.set_nodes(known)
+        upstream = Upstream(spec("u0"))
+        turns.begin(upstream, COLD_PER_S, 0)
+        for now_ms in range(0, COLD_MS, STEP_MS):
+            if turns.is_due(upstream, now_ms):
+                turns.take(upstream, COLD_PER_S, now_ms)
+                times.append(now_ms)
+    return times
+
+
+def most_in_a_second(times):
+    return max(sum(t <= other < t + 1_000 for other in times) for t in times)
+
+
+@pytest.mark.parametrize(("nodes", "known"), [(10, 10), (16, 10), (11, 11), (86, 86)])
+def test_no_second_holds_more_than_the_bound(nodes, known):
+    times = arrivals(nodes, known)
+    assert most_in_a_second(times) <= COLD_PER_S * OVERAGE + SLACK
+
+
+def test_without_shares_the_bound_is_broken():
+    assert most_in_a_second(arrivals(10, 1)) > COLD_PER_S * OVERAGE + SLACK
+
+
+def test_a_cold_upstream_is_chosen_only_at_its_turn():
+    fleet = Fleet(spec("u0"), nodes=10)
+    upstream = fleet["u0"]
+    fleet.directory.chill(upstream, COLD_MS, COLD_PER_S, 10_000)
+    due_ms = upstream.next_turn_ms
+    assert fleet.name_of(now_ms=due_ms - 1) == "no room"
+    assert fleet.name_of(now_ms=due_ms) == "u0"
+    fleet.turns.take(upstream, COLD_PER_S, due_ms)
+    assert fleet.name_of(now_ms=due_ms + 1) == "no room"
+    assert fleet.name_of(now_ms=10_000 + COLD_MS) == "u0"
+
+
+def test_an_upstream_that_was_unreachable_comes_back_cold():
+    upstream = Upstream(spec("u0"))
+    upstream.on_unreachable(1_000)
+    assert upstream.is_blocked(1_100)
+    assert not upstream.is_blocked(1_300)
+    upstream.in_flight = 1
+    assert upstream.is_blocked(1_300)
+    upstream.in_flight = 0
+    upstream.on_answer(COLD_MS, 1_300)
+    assert upstream.is_cold(1_300 + COLD_MS - 1)
+    assert not upstream.is_cold(1_300 + COLD_MS)
--- /dev/null
+++ b/tests/bilberry_balance/placement/test_queue.py
@@ -0,0 +1,51 @@
+"""Room goes to the urgent and useful first, and the rest is told early."""
+
+from bilberry_balance.placement.admission import StartRate, admit
+from bilberry_balance.placement.queue import Waiting, WaitQueue
+
+
+def waiting(name, priority=1, in_time_ms=1_000):
+    return Waiting(name, priority, in_time_ms, 2_000)
+
+
+def order(queue, now_ms=0):
+    return [entry.item for entry in queue.ranked(now_ms)]
+
+
+def test_rank_goes_before_age():
+    queue = WaitQueue()
+    for entry in (waiting("a", 2), waiting("b", 1), waiting("c", 1)):
+        queue.push(entry)
+    assert order(queue) == ["b", "c", "a"]
+
+
+def test_what_is_late_already_goes_behind_its_rank():
+    queue = WaitQueue()
+    queue.push(waiting("late", in_time_ms=500))
+    queue.push(waiting("in time", in_time_ms=1_000))
+    assert order(queue, 400) == ["late", "in time"]
+    assert order(queue, 600) == ["in time", "late"]
+
+
+def test_one_that_finds_no_room_does_not_hold_up_the_next():
+    queue = WaitQueue()
+    for name in ("a", "b", "c"):
+        queue.push(waiting(name))
+    assert queue.take(lambda item: item == "b", 0, misses=5) == 1
+    assert order(queue) == ["a", "c"]
+    assert queue.take(lambda item: item == "c", 0, misses=1) == 0
+
+
+def test_a_wait_that_passes_the_objective_is_refused_at_once():
+    assert admit(300, 400) is None
+    refusal = admit(500, 400)
+    assert refusal is not None
+    assert refusal.retry_after_ms == 500
+
+
+def test_the_expected_wait_follows_the_measured_rate():
+    rate = StartRate()
+    assert rate.wait_ms(10, 0) == 0
+    for now_ms in range(0, 5_000, 100):
+        rate.note(now_ms)
+    assert 900 <= rate.wait_ms(9, 5_000) <= 1_100
--- /dev/null
+++ b/tests/bilberry_balance/placement/test_upstream.py
@@ -0,0 +1,69 @@
+"""What a node concludes about one upstream."""
+
+from bilberry_balance.placement.const import FAILURES_TO_BLOCK, SHEDS_TO_BLOCK
+from bilberry_balance.placement.upstream import Upstream
+
+from .common import Fleet, spec
+
+
+def test_single_lost_answers_do_not_keep_requests_away():
+    upstream = Upstream(spec("u0"))
+    for _ in range(FAILURES_TO_BLOCK - 1):
+        upstream.on_failure(1_000)
+    assert not upstream.is_blocked(1_000)
+    upstream.on_failure(1_000)
+    assert upstream.is_blocked(1_000)
+
+
+def test_a_whole_answer_ends_a_row_of_failures():
+    upstream = Upstream(spec("u0"))
+    for _ in range(10):
+        upstream.on_failure(1_000)
+        upstream.on_answer(3_000, 1_000)
+    assert not upstream.is_blocked(1_000)
+    assert not upstream.is_cold(1_000)
+
+
+def test_an_upstream_that_sheds_with_room_is_left_alone_for_a_while():
+    upstream = Upstream(spec("u0"))
+    for _ in range(SHEDS_TO_BLOCK):
+        upstream.on_shed(has_room=True, now_ms=1_000)
+    assert upstream.is_blocked(1_000)
+
+
+def test_a_full_upstream_counts_as_full():
+    upstream = Upstream(spec("u0", slots=4))
+    upstream.on_shed(has_room=False, now_ms=1_000)
+    assert upstream.load(0, 1_000) == 4
+    assert not upstream.is_blocked(1_000)
+
+
+def test_a_new_incarnation_starts_afresh():
+    fleet = Fleet(spec("u0", born_ms=1))
+    old = fleet["u0"]
+    old.in_flight = 3
+    old.note_key("k", 1_000)
+    new = fleet.directory.put(spec("u0", born_ms=2), draining=False)
+    assert new is not old
+    assert old.draining
+    assert new.in_flight == 0
+    assert not new.is_warm("k", 1_000)
+
+
+def test_an_entry_that_only_drains_keeps_its_requests():
+    fleet = Fleet(spec("u0"))
+    fleet["u0"].in_flight = 3
+    upstream = fleet.directory.put(spec("u0"), draining=True)
+    assert upstream.in_flight == 3
+    assert not fleet.directory.takes_work(upstream)
+
+
+def test_peers_counts_are_replaced_and_expire():
+    fleet = Fleet(spec("u0"))
+    fleet.loads.tell("n2", {"u0": 2}, 1_000)
+    fleet.loads.tell("n2", {"u0": 1}, 1_200)
+    fleet.loads.tell("n3", {"u0": 1, "u1": 5}, 1_000)
+    assert fleet.loads.at("u0") == 2
+    fleet.loads.expire(3_600)
+    assert fleet.loads.at("u0") == 1
+    assert fleet.loads.at("u1") == 0
