--- /dev/null
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/store.py
@@ -0,0 +1,165 @@
+"""Serve the object table as the platform's store does, faults included."""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+from urllib.parse import parse_qs, unquote
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from bilberry_core.clock import Clock
+from bilberry_core.const import MS_PER_SECOND
+from bilberry_resources.routing import CallerLimits
+from bilberry_router.entry.listener import Listener
+from bilberry_router.entry.messages import EntryAnswer, EntryRequest
+from bilberry_router.http.head import RequestHead
+
+from .table import ObjectTable, Refused, StoredItem
+
+PREFIX = "/objects/"
+PAGE_ITEMS = 500
+REFUSED_STATUSES = {
+    Refused.EXISTS: HTTPStatus.CONFLICT,
+    Refused.CONFLICT: HTTPStatus.CONFLICT,
+    Refused.MISSING: HTTPStatus.NOT_FOUND,
+}
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """Tell how the store misbehaves.
+
+    `down_status` answers every call, `silent` none; `lose_writes` makes
+    changes and answers nothing; `page_items` bounds a page.
+    """
+
+    down_status: int = 0
+    silent: bool = False
+    lose_writes: bool = False
+    delay_ms: int = 0
+    page_items: int = PAGE_ITEMS
+
+
+class StoreServer:
+    """Own the table and the listener; count the calls."""
+
+    __slots__ = ("calls", "changed", "faults", "listener", "table")
+
+    def __init__(self, clock: Clock, address: str = "127.0.0.1:0") -> None:
+        self.table = ObjectTable()
+        self.faults = StoreFaults()
+        self.changed = Event()
+        self.calls: list[str] = []
+        self.listener = Listener(address, self, CallerLimits, clock)
+
+    def start(self) -> None:
+        """Listen."""
+        self.listener.start()
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.listener.close()
+
+    def notify(self) -> None:
+        """Wake the waiting watches; call after a change of the table."""
+        self.changed.set()
+        self.changed.clear()
+
+    def may_overlap(self, head: RequestHead) -> bool:
+        """Tell that calls don't wait for one another."""
+        return True
+
+    def handle(self, request: EntryRequest) -> EntryAnswer:
+        """Answer one call."""
+        head = request.head
+        self.calls.append(f"{head.method} {head.target}")
+        faults = self.faults
+        if faults.delay_ms:
+            gevent.sleep(faults.delay_ms / MS_PER_SECOND)
+        if faults.silent:
+            gevent.sleep(MS_PER_SECOND)
+        if faults.down_status:
+            return EntryAnswer(faults.down_status)
+        kind, _, name = head.path.removeprefix(PREFIX).partition("/")
+        query = {key: values[0] for key, values in parse_qs(head.query).items()}
+        answer = self._answer(request, unquote(kind), unquote(name), query)
+        if head.method != "GET" and faults.lose_writes:
+            gevent.sleep(MS_PER_SECOND)
+        return answer
+
+    def _answer(
+        self, request: EntryRequest, kind: str, name: str, query: dict[str, str]
+    ) -> EntryAnswer:
+        method = request.head.method
+        if method == "GET" and "watch" in query:
+            return self._watch(kind, int(query["watch"]), int(query["wait_ms"]))
+        if method == "GET" and not name:
+            return self._list(kind, query.get("after", ""))
+        if method == "GET":
+            item = self.table.get(kind, name)
+            return _json(_item(item)) if item else EntryAnswer(HTTPStatus.NOT_FOUND)
+        if method == "DELETE":
+            found = self.table.delete(kind, name)
+            self.notify()
+            return EntryAnswer(HTTPStatus.OK if found else HTTPStatus.NOT_FOUND)
+        return self._write(method, kind, name, request.body)
+
+    def _write(self, method: str, kind: str, name: str, body: bytes) -> EntryAnswer:
+        said = msgspec.json.decode(body)
+        metadata = said["metadata"]
+        if method == "POST":
+            done = self.table.create(kind, metadata["name"], said["spec"])
+        else:
+            revision = metadata.get("revision")
+            done = self.table.replace(kind, name, said["spec"], revision)
+        if isinstance(done, Refused):
+            return EntryAnswer(REFUSED_STATUSES[done])
+        self.notify()
+        return _json(_item(done))
+
+    def _list(self, kind: str, after: str) -> EntryAnswer:
+        items = [item for item in self.table.items(kind) if item.name > after]
+        page = items[: self.faults.page_items]
+        return _json(
+            {
+                "items": [_item(item) for item in page],
+                "has_more": len(items) > len(page),
+                "as_of": self.table.revision,
+            }
+        )
+
+    def _watch(self, kind: str, revision: int, wait_ms: int) -> EntryAnswer:
+        deadline = gevent.Timeout(wait_ms / MS_PER_SECOND, exception=False)
+        with deadline:
+            while self.table.since(kind, revision) == []:
+                self.changed.wait()
+        events = self.table.since(kind, revision)
+        if events is None:
+            return EntryAnswer(HTTPStatus.GONE)
+        return _json(
+            {
+                "events": [
+                    {"object": _item(event.item), "deleted": event.deleted}
+                    for event in events
+                ],
+                "as_of": self.table.revision,
+            }
+        )
+
+
+def _item(item: StoredItem) -> dict[str, Any]:
+    metadata = {
+        "name": item.name,
+        "revision": item.revision,
+        "created": item.created,
+        "finalizers": [],
+        "deleting": False,
+    }
+    return {"metadata": metadata, "spec": item.spec, "status": item.status}
+
+
+def _json(message: Any) -> EntryAnswer:
+    headers = [("Content-Type", "application/json")]
+    return EntryAnswer(HTTPStatus.OK, headers, msgspec.json.encode(message))
--- /dev/null
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/table.py
@@ -0,0 +1,115 @@
+"""Keep objects by kind and name, with one revision and a history."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import StrEnum, auto
+from typing import Any
+
+FIRST_REVISION = 100
+DEFAULT_HISTORY = 1_000
+
+
+class Refused(StrEnum):
+    """Say why a change was not made."""
+
+    EXISTS = auto()
+    MISSING = auto()
+    CONFLICT = auto()
+
+
+@dataclass(slots=True)
+class StoredItem:
+    """Hold one object as it is."""
+
+    name: str
+    revision: int
+    created: int
+    spec: Any = None
+    status: Any = None
+
+
+@dataclass(slots=True, frozen=True)
+class TableEvent:
+    """Hold one change of an object."""
+
+    kind: str
+    revision: int
+    item: StoredItem
+    deleted: bool
+
+
+@dataclass(slots=True)
+class ObjectTable:
+    """Own all objects; `forgotten` is the newest revision without history."""
+
+    revision: int = FIRST_REVISION
+    forgotten: int = FIRST_REVISION
+    kinds: dict[str, dict[str, StoredItem]] = field(default_factory=dict)
+    history: deque[TableEvent] = field(
+        default_factory=lambda: deque(maxlen=DEFAULT_HISTORY)
+    )
+
+    def items(self, kind: str) -> list[StoredItem]:
+        """Return the objects of a kind, by name."""
+        held = self.kinds.get(kind, {})
+        return [held[name] for name in sorted(held)]
+
+    def get(self, kind: str, name: str) -> StoredItem | None:
+        """Return one object."""
+        return self.kinds.get(kind, {}).get(name)
+
+    def create(self, kind: str, name: str, spec: Any) -> StoredItem | Refused:
+        """Add an object."""
+        if self.get(kind, name) is not None:
+            return Refused.EXISTS
+        item = StoredItem(name, self.revision + 1, self.revision + 1, spec)
+        self._keep(kind, item)
+        return item
+
+    def replace(
+        self, kind: str, name: str, spec: Any, revision: int | None = None
+    ) -> StoredItem | Refused:
+        """Replace an object's spec, if it is at `revision`."""
+        old = self.get(kind, name)
+        if old is None:
+            return Refused.MISSING
+        if revision is not None and revision != old.revision:
+            return Refused.CONFLICT
+        if old.spec == spec:
+            return old
+        item = StoredItem(name, self.revision + 1, old.created, spec, old.status)
+        self._keep(kind, item)
+        return item
+
+    def put(self, kind: str, name: str, spec: Any, status: Any = None) -> StoredItem:
+        """Write an object as its owner does, whatever was there."""
+        old = self.get(kind, name)
+        created = old.created if old else self.revision + 1
+        item = StoredItem(name, self.revision + 1, created, spec, status)
+        self._keep(kind, item)
+        return item
+
+    def delete(self, kind: str, name: str) -> bool:
+        """Remove an object; return whether it was there."""
+        old = self.kinds.get(kind, {}).pop(name, None)
+        if old is None:
+            return False
+        self.revision += 1
+        self.history.append(TableEvent(kind, self.revision, old, deleted=True))
+        return True
+
+    def since(self, kind: str, revision: int) -> list[TableEvent] | None:
+        """Return the changes after `revision`, None if they are forgotten."""
+        if revision < self.forgotten:
+            return None
+        return [e for e in self.history if e.kind == kind and e.revision > revision]
+
+    def forget_history(self) -> None:
+        """Drop the history, so that older watches have to list again."""
+        self.history.clear()
+        self.forgotten = self.revision
+
+    def _keep(self, kind: str, item: StoredItem) -> None:
+        self.revision = item.revision
+        self.kinds.setdefault(kind, {})[item.name] = item
+        self.history.append(TableEvent(kind, item.revision, item, deleted=False))
--- /dev/null
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
@@ -0,0 +1,194 @@
+"""Serve requests as an upstream of the users' machines does."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import gevent
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from bilberry_core.const import MS_PER_SECOND
+from bilberry_core.outcome import Failure
+from bilberry_router.entry.messages import HeaderNames
+from bilberry_router.http.connection import Connection, ConnectionLostError
+from bilberry_router.http.const import END_OF_HEAD
+from bilberry_router.http.head import RequestHead, parse_head
+
+READ_TIMEOUT_MS = 60_000
+DEFAULT_WORK_MS = 5
+COLD_OBJECT_FACTOR = 3
+
+
+@dataclass(slots=True)
+class Served:
+    """Hold one request that ran, and how it ended."""
+
+    request_id: str
+    method: str
+    target: str
+    body: bytes
+    timeout_ms: int
+    key: str
+    whole: bool = False
+
+
+@dataclass(slots=True)
+class UpstreamFaults:
+    """Tell how an upstream misbehaves.
+
+    `script` holds raw bytes to send instead of each next answer, None for
+    a reset; `sheds` is how many requests it rejects next; `hold` keeps all
+    work from ending until it is set.
+    """
+
+    script: list[bytes | None] = field(default_factory=list)
+    sheds: int = 0
+    hold: Event | None = None
+    extra: Callable[[Served], bytes] | None = None
+
+
+class UpstreamServer:
+    """Own one upstream: its slots, warm objects and what it has run."""
+
+    __slots__ = (
+        "clock",
+        "faults",
+        "name",
+        "names",
+        "ran",
+        "running",
+        "server",
+        "slots",
+        "warm",
+        "work_ms",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        names: HeaderNames,
+        clock: Any,
+        slots: int = 4,
+        work_ms: int = DEFAULT_WORK_MS,
+        address: tuple[str, int] = ("127.0.0.1", 0),
+    ) -> None:
+        self.name = name
+        self.names = names
+        self.clock = clock
+        self.slots = slots
+        self.work_ms = work_ms
+        self.running = 0
+        self.ran: list[Served] = []
+        self.warm: set[str] = set()
+        self.faults = UpstreamFaults()
+        self.server = StreamServer(address, self.serve)
+
+    @property
+    def address(self) -> str:
+        """Return the `ip:port` it listens on."""
+        return f"{self.server.server_host}:{self.server.server_port}"
+
+    def start(self) -> None:
+        """Listen."""
+        self.server.start()
+
+    def close(self) -> None:
+        """Stop listening and cut all connections."""
+        self.server.stop(timeout=0)
+
+    def serve(self, sock: Any, address: Any) -> None:
+        """Serve one connection."""
+        connection = Connection(sock, self.clock)
+        try:
+            while self.serve_one(connection):
+                pass
+        except (ConnectionLostError, OSError):
+            connection.abort()
+        finally:
+            sock.close()
+
+    def serve_one(self, connection: Connection) -> bool:
+        """Answer the next request; return whether another may follow."""
+        while (end := connection.buffer.find(END_OF_HEAD)) < 0:
+            connection.fill(READ_TIMEOUT_MS)
+        data = connection.take(end)
+        connection.take(len(END_OF_HEAD))
+        parsed = parse_head(data)
+        assert not isinstance(parsed, Failure), parsed.failure().reason
+        head = parsed.unwrap()
+        length = head.content_length or 0
+        while len(connection.buffer) < length:
+            connection.fill(READ_TIMEOUT_MS)
+        return self.answer(connection, head, connection.take(length))
+
+    def answer(self, connection: Connection, head: RequestHead, body: bytes) -> bool:
+        """Run one request and send its answer, or what the faults say."""
+        names = self.names
+        sock = connection.sock
+        expected = head.first(names.expected_upstream.lower())
+        if expected not in (None, self.name):
+            sock.sendall(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
+            return True
+        if self.faults.sheds > 0 or self.running >= self.slots:
+            self.faults.sheds -= 1
+            sock.sendall(self._shed())
+            return True
+        served = self._run(head, body)
+        if self.faults.script:
+            raw = self.faults.script.pop(0)
+            if raw is None:
+                connection.abort()
+                return False
+            sock.sendall(raw)
+            return False
+        sock.sendall(self.whole_answer(served))
+        served.whole = True
+        if self.faults.extra is not None:
+            sock.sendall(self.faults.extra(served))
+        return True
+
+    def whole_answer(self, served: Served, body: bytes = b"") -> bytes:
+        """Return a sound answer to a request."""
+        body = body or f"{self.name} ran {served.request_id}".encode()
+        lines = [
+            "HTTP/1.1 200 OK",
+            f"{self.names.request_id}: {served.request_id}",
+            f"{self.names.digest}: digest-of-{served.request_id}",
+            f"{self.names.load}: {self.running},0,{self.slots}",
+            f"Content-Length: {len(body)}",
+        ]
+        return "\r\n".join(lines).encode() + END_OF_HEAD + body
+
+    def _run(self, head: RequestHead, body: bytes) -> Served:
+        names = self.names
+        served = Served(
+            head.first(names.request_id.lower()) or "",
+            head.method,
+            head.target,
+            body,
+            int(head.first(names.timeout.lower()) or 0),
+            head.first(names.affinity.lower()) or "",
+        )
+        self.ran.append(served)
+        work_ms = self.work_ms
+        if served.key and served.key not in self.warm:
+            work_ms *= COLD_OBJECT_FACTOR
+            self.warm.add(served.key)
+        self.running += 1
+        try:
+            if self.faults.hold is not None:
+                self.faults.hold.wait()
+            gevent.sleep(work_ms / MS_PER_SECOND)
+        finally:
+            self.running -= 1
+        return served
+
+    def _shed(self) -> bytes:
+        lines = [
+            "HTTP/1.1 503 Service Unavailable",
+            f"{self.names.not_run}: 1",
+            f"{self.names.load}: {self.running},0,{self.slots}",
+            "Content-Length: 0",
+        ]
+        return "\r\n".join(lines).encode() + END_OF_HEAD
--- /dev/null
+++ b/tests/bilberry_router/entry/test_forwarder.py
@@ -0,0 +1,219 @@
+"""Callers get whole answers to their own requests, run as often as allowed."""
+
+import gevent
+import pytest
+
+from .common import NAMES, Rig, config, eventually, route
+
+HEAD = (
+    f"HTTP/1.1 200 OK\r\n{NAMES.request_id}: r1\r\n{NAMES.digest}: d\r\n"
+    f"Content-Length: 4\r\n"
+).encode()
+BAD = {
+    "reset": None,
+    "cut short": HEAD + b"\r\nab",
+    "no digest": f"HTTP/1.1 200 OK\r\n{NAMES.request_id}: r1\r\n"
+    "Content-Length: 2\r\n\r\nok".encode(),
+    "encoded": HEAD + b"Content-Encoding: gzip\r\n\r\nabcd",
+    "no answer": b"hello, this is no answer\r\n\r\n",
+    "closed at once": b"",
+}
+
+
+def test_a_request_goes_through_unchanged():
+    with Rig() as rig:
+        headers = (f"{NAMES.timeout}: 900", f"{NAMES.affinity}: 17", "X-Other: a")
+        answer = rig.ask("/read/x?q=1", headers=headers)
+        assert answer.status == 200
+        assert answer.headers[NAMES.digest.lower()] == "digest-of-r1"
+        assert answer.headers[NAMES.request_id.lower()] == "r1"
+        (served,) = rig.ran
+        assert (served.method, served.target, served.key) == (
+            "GET",
+            "/read/x?q=1",
+            "17",
+        )
+        assert 0 < served.timeout_ms <= 900
+
+
+def test_the_routes_timeout_bounds_the_time_handed_on():
+    with Rig() as rig:
+        rig.ask("/short/x", headers=(f"{NAMES.timeout}: 900",))
+        assert rig.ran[0].timeout_ms <= 200
+
+
+@pytest.mark.parametrize("name", sorted(BAD))
+def test_an_idempotent_request_is_sent_again_after_a_bad_answer(name):
+    with Rig() as rig:
+        for upstream in rig.upstreams:
+            upstream.faults.script = [BAD[name]]
+        rig.upstreams[1].faults.script = []
+        bad, good = rig.upstreams
+        rig.state.upstreams.by_name["u1"].in_flight = 2
+        answer = rig.ask("/read/x")
+        assert answer.status == 200
+        assert (len(bad.ran), len(good.ran)) == (1, 1)
+        assert answer.body == b"u1 ran r1"
+
+
+@pytest.mark.parametrize("name", sorted(BAD))
+def test_a_non_idempotent_request_never_runs_twice(name):
+    with Rig() as rig:
+        for upstream in rig.upstreams:
+            upstream.faults.script = [BAD[name]]
+        answer = rig.ask("/book/x", method="POST", body=b"order")
+        assert answer.status == 502
+        assert "retry-after" not in answer.headers
+        assert NAMES.digest.lower() not in answer.headers
+        assert len(rig.ran) == 1
+
+
+def test_a_shed_request_is_placed_elsewhere_and_runs_once():
+    with Rig() as rig:
+        rig.upstreams[0].faults.sheds = 1
+        rig.state.upstreams.by_name["u1"].in_flight = 2
+        answer = rig.ask("/book/x", method="POST", body=b"order")
+        assert answer.status == 200
+        assert [served.body for served in rig.ran] == [b"order"]
+
+
+def test_a_request_shed_everywhere_is_refused_truthfully():
+    with Rig() as rig:
+        for upstream in rig.upstreams:
+            upstream.faults.sheds = 10
+        answer = rig.ask("/book/x", method="POST", body=b"order")
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert rig.ran == []
+
+
+def test_an_upstream_that_took_over_an_address_gets_nothing_more():
+    with Rig(count=1) as rig:
+        rig.upstreams[0].name = "other"
+        answer = rig.ask("/book/x", method="POST", body=b"order")
+        assert answer.status == 503
+        assert rig.ran == []
+        assert not rig.state.upstreams.takes_work(rig.state.upstreams.by_name["u0"])
+
+
+def test_an_unreachable_upstream_costs_no_answer():
+    with Rig() as rig:
+        rig.upstreams[0].close()
+        rig.state.upstreams.by_name["u1"].in_flight = 2
+        answer = rig.ask("/book/x", method="POST", body=b"order")
+        assert answer.status == 200
+        assert rig.state.upstreams.by_name["u0"].unreachable
+
+
+def test_an_answer_to_another_request_is_skipped():
+    late = (
+        f"HTTP/1.1 200 OK\r\n{NAMES.request_id}: r0\r\n{NAMES.digest}: d0\r\n"
+        "Content-Length: 5\r\n\r\nother"
+    ).encode()
+    with Rig(count=1) as rig:
+        upstream = rig.upstreams[0]
+        right = HEAD + b"\r\nmine"
+        upstream.faults.script = [late + right]
+        answer = rig.ask("/read/x")
+        assert answer.body == b"mine"
+
+
+def test_bytes_after_an_answer_never_reach_the_next_request():
+    with Rig(count=1) as rig:
+        upstream = rig.upstreams[0]
+        upstream.faults.extra = upstream.whole_answer
+        client = rig.client()
+        for index in range(5):
+            client.send("/read/x", request_id=f"r{index}")
+            assert client.answer().body == f"u0 ran r{index}".encode()
+
+
+def test_an_answer_without_length_ends_with_its_connection():
+    with Rig(count=1) as rig:
+        unframed = HEAD.replace(b"Content-Length: 4\r\n", b"") + b"\r\nabcd"
+        rig.upstreams[0].faults.script = [unframed]
+        assert rig.ask("/read/x").body == b"abcd"
+
+
+def test_at_the_routes_timeout_the_caller_gets_its_final_answer():
+    with Rig(count=1) as rig:
+        rig.hold()
+        assert rig.ask("/short/x").status == 504
+
+
+def test_a_caller_that_leaves_takes_its_request_along():
+    with Rig(count=1) as rig:
+        rig.hold()
+        client = rig.client()
+        client.send("/read/x")
+        eventually(lambda: rig.ran)
+        client.reset()
+        eventually(lambda: not rig.state.upstreams.by_name["u0"].in_flight)
+
+
+def test_a_caller_that_leaves_the_queue_is_never_sent():
+    with Rig(count=1, slots=1) as rig:
+        release = rig.hold()
+        queue = rig.placer.queues
+        first, second = rig.client(), rig.client()
+        first.send("/read/x")
+        eventually(lambda: rig.ran)
+        second.send("/read/y", request_id="r2")
+        eventually(lambda: queue["s"].queue.waiting)
+        second.reset()
+        eventually(lambda: not queue["s"].queue.waiting)
+        release.set()
+        assert first.answer().status == 200
+        gevent.sleep(0.05)
+        assert [served.request_id for served in rig.ran] == ["r1"]
+
+
+def test_a_request_waits_for_room_and_then_runs():
+    with Rig(count=1, slots=1) as rig:
+        release = rig.hold()
+        clients = [rig.client() for _ in range(3)]
+        for index, client in enumerate(clients):
+            client.send("/read/x", request_id=f"r{index}")
+        eventually(lambda: len(rig.placer.queues["s"].queue.waiting) == 2)
+        release.set()
+        assert [client.answer().status for client in clients] == [200] * 3
+
+
+@pytest.mark.parametrize(
+    ("target", "status"), [("/none/x", 404), ("/empty/x", 503), ("/read/x", 200)]
+)
+def test_routes_decide_what_is_there(target, status):
+    with Rig() as rig:
+        assert rig.ask(target).status == status
+
+
+def test_without_configuration_requests_are_refused_not_denied():
+    with Rig() as rig:
+        rig.state.routes.config = None
+        rig.state.routes.hosts = {}
+        assert rig.ask("/read/x").status == 503
+
+
+def test_a_new_version_applies_to_the_next_request():
+    with Rig() as rig:
+        client = rig.client()
+        client.send("/new/x")
+        assert client.answer().status == 404
+        rig.state.install(config(2, (route("new", "/new/"),)))
+        client.send("/new/x")
+        assert client.answer().status == 200
+        client.send("/read/x")
+        assert client.answer().status == 404
+
+
+def test_retries_stay_within_their_part_of_the_requests():
+    with Rig(work_ms=0) as rig:
+        rig.state.set_known_nodes(10)
+        for upstream in rig.upstreams:
+            upstream.faults.script = [None] * 1_000
+        for index in range(60):
+            rig.ask("/read/x", request_id=f"r{index}")
+            for upstream in rig.state.upstreams.by_name.values():
+                upstream.blocked_until_ms = 0
+        extra = len(rig.ran) - 60
+        assert 0 < extra <= 0.2 * 60 + 60 / 10
