--- a/tests/bilberry_router/entry/common.py
+++ b/tests/bilberry_router/entry/common.py
@@ -175,6 +175,11 @@
     def ran(self):
         return [served for upstream in self.upstreams for served in upstream.ran]
 
+    @property
+    def queued(self):
+        held = self.placer.queues.get("s")
+        return len(held.queue.waiting) if held else 0
+
     def client(self):
         return Client(self.listener.address)
 
--- a/tests/bilberry_router/entry/test_forwarder.py
+++ b/tests/bilberry_router/entry/test_forwarder.py
@@ -154,14 +154,13 @@
 def test_a_caller_that_leaves_the_queue_is_never_sent():
     with Rig(count=1, slots=1) as rig:
         release = rig.hold()
-        queue = rig.placer.queues
         first, second = rig.client(), rig.client()
         first.send("/read/x")
         eventually(lambda: rig.ran)
         second.send("/read/y", request_id="r2")
-        eventually(lambda: queue["s"].queue.waiting)
+        eventually(lambda: rig.queued == 1)
         second.reset()
-        eventually(lambda: not queue["s"].queue.waiting)
+        eventually(lambda: rig.queued == 0)
         release.set()
         assert first.answer().status == 200
         gevent.sleep(0.05)
@@ -174,7 +173,7 @@
         clients = [rig.client() for _ in range(3)]
         for index, client in enumerate(clients):
             client.send("/read/x", request_id=f"r{index}")
-        eventually(lambda: len(rig.placer.queues["s"].queue.waiting) == 2)
+        eventually(lambda: rig.queued == 2)
         release.set()
         assert [client.answer().status for client in clients] == [200] * 3
 
