Refuse requests that a leaving node can't end in time

Ruled out: the grace itself, no request of the first 3 s was cut. Tests run whole nodes against the stand-in store.

--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -26,6 +26,7 @@
 MAX_DIRECTORY_NODES = 64
 
 DRAIN_SERVE_MS = 2_500
-"""How long a leaving node goes on taking requests."""
+"""How long a leaving node goes on taking requests, at most."""
+DRAIN_SERVE_PART = 0.45
 DRAIN_MARGIN_MS = 300
 DRAIN_TICK_MS = 50
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -25,6 +25,7 @@
 
 HEADER_HOST = "host"
 NO_CONFIG_RETRY_MS = 500
+LEAVING_RETRY_MS = 50
 UNSENT = frozenset({FailurePoint.DURING_CONNECT, FailurePoint.BEFORE_CONNECT})
 
 
@@ -51,7 +52,7 @@
 class Forwarder:
     """Answer callers' requests by forwarding them to upstreams."""
 
-    __slots__ = ("accounts", "links", "names", "placer", "state")
+    __slots__ = ("accounts", "links", "names", "placer", "refusing", "state")
 
     def __init__(
         self, state: EntryState, placer: Placer, links: Links, names: HeaderNames
@@ -61,6 +62,7 @@
         self.links = links
         self.names = names
         self.accounts = Accounts(state, names)
+        self.refusing = False
 
     def may_overlap(self, head: RequestHead) -> bool:
         """Tell whether the request may run before earlier ones ended."""
@@ -71,6 +73,8 @@
         """Return the final answer to a request."""
         head = request.head
         routes = self.state.routes
+        if self.refusing:
+            return leaving_answer()
         if routes.config is None:
             return refusal_answer("no configuration yet", NO_CONFIG_RETRY_MS)
         entry = routes.find(head.first(HEADER_HOST) or "", head.path)
@@ -228,6 +232,13 @@
     return own_answer(HTTPStatus.SERVICE_UNAVAILABLE, detail, headers)
 
 
+def leaving_answer() -> EntryAnswer:
+    """Return the answer to a request that this node can't end in time."""
+    answer = refusal_answer("this node is leaving", LEAVING_RETRY_MS)
+    answer.close = True
+    return answer
+
+
 def final_answer(outcome: Outcome, verdict: Verdict) -> EntryAnswer:
     """Return the node's own answer after a failed attempt."""
     assert outcome.point is not None
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -16,7 +16,7 @@
 from bilberry_fleet.discovery.upstreams import UpstreamFeed
 from bilberry_resources.routing import CallerLimits, RoutingConfig
 
-from .const import DRAIN_MARGIN_MS, DRAIN_SERVE_MS, EXPIRE_TICK_MS
+from .const import DRAIN_MARGIN_MS, DRAIN_SERVE_MS, DRAIN_SERVE_PART, EXPIRE_TICK_MS
 from .forwarder import Forwarder
 from .links import Links
 from .listener import Listener
@@ -121,7 +121,9 @@
         self.draining = True
         self.membership.leave()
         self.entry.start_draining()
-        gevent.sleep(min(DRAIN_SERVE_MS, grace_ms) / MS_PER_SECOND)
+        serve_ms = min(DRAIN_SERVE_MS, grace_ms * DRAIN_SERVE_PART)
+        gevent.sleep(serve_ms / MS_PER_SECOND)
+        self.forwarder.refusing = True
         self.entry.start_draining()
         whole = self.entry.await_idle(max(0, end_ms - self.clock.now_ms()))
         self.close()
--- /dev/null
+++ b/tests/bilberry_platform/common.py
@@ -0,0 +1,161 @@
+"""Run whole nodes against the stand-ins of the users' machines."""
+
+from bilberry_balance.placement.chooser import Place
+from bilberry_core.clock import SystemClock
+from bilberry_platform.config import decode_config
+from bilberry_platform.const import HEADERS, KINDS, PATH_DIRECTORY, PATH_READY
+from bilberry_platform.directory import decode_query, encode_addresses
+from bilberry_platform.entries import decode_node, upstream_decoder
+from bilberry_platform.store import StoreClient
+from bilberry_router.entry.node import EntryNode, NodeAddresses
+from bilberry_router.entry.platform import Platform
+from bilberry_router.entry.state import Bounds
+from bilberry_testing.machines.store import StoreServer
+from bilberry_testing.machines.upstream import UpstreamServer
+
+from ..bilberry_router.entry.common import Client, eventually
+
+ZONES = {"mtl-a": "mtl", "mtl-b": "mtl", "qc-a": "qc"}
+LOCAL = "127.0.0.1:0"
+
+
+def config_spec(version=1, routes=None, **limits):
+    values = {
+        "max_header_bytes": 16_384,
+        "max_body_bytes": 1_000_000,
+        "header_timeout_s": 3,
+        "idle_timeout_s": 15,
+    }
+    values.update(limits)
+    resources = [route_spec(*route) for route in routes or [("read", "/read/")]]
+    resources.append(
+        {
+            "resource_kind": "services",
+            "metadata": {"name": "s"},
+            "spec": {
+                "health_path": "/healthz",
+                "max_connections": 360,
+                "cold_start_s": 3.0,
+                "cold_per_s": 6.4,
+            },
+        }
+    )
+    resources.append({"resource_kind": "limits", "metadata": {}, "spec": values})
+    return {"version": version, "base_version": 0, "resources": resources}
+
+
+def route_spec(name, prefix, **fields):
+    spec = {
+        "host": "shop.example",
+        "path_prefix": prefix,
+        "kind": "idempotent",
+        "timeout_s": 2,
+        "target_latency_s": 0.5,
+        "priority": 1,
+        "service": "s",
+        "max_attempts": 2,
+        "sticky": True,
+        "home_regions": [],
+    }
+    spec.update(fields)
+    return {"resource_kind": "routes", "metadata": {"name": name}, "spec": spec}
+
+
+def entry_of(upstream, zone="mtl-a", born=1, service="s"):
+    return {
+        "address": upstream.address,
+        "born": born,
+        "info": {
+            "service": service,
+            "version": "v1",
+            "zone": zone,
+            "slots": upstream.slots,
+        },
+    }
+
+
+def status_of(state="ready", sequence=1, cold_s=0):
+    return {"state": state, "sequence": sequence, "cold_remaining_s": cold_s}
+
+
+class Machines:
+    """Hold a store, upstreams and nodes, all in this process."""
+
+    def __init__(self, upstreams=2, grace_ms=1_000):
+        self.clock = SystemClock()
+        self.grace_ms = grace_ms
+        self.store = StoreServer(self.clock)
+        self.upstreams = [
+            UpstreamServer(f"i-{index}", HEADERS, self.clock)
+            for index in range(upstreams)
+        ]
+        self.nodes = []
+
+    def __enter__(self):
+        self.store.start()
+        self.write("config", "main", config_spec())
+        for upstream in self.upstreams:
+            upstream.start()
+            self.register(upstream)
+        return self
+
+    def __exit__(self, *exc):
+        for node in self.nodes:
+            node.close()
+        self.store.close()
+        for upstream in self.upstreams:
+            upstream.close()
+
+    def write(self, kind, name, spec, status=None):
+        self.store.table.put(kind, name, spec, status)
+        self.store.notify()
+
+    def remove(self, kind, name):
+        self.store.table.delete(kind, name)
+        self.store.notify()
+
+    def register(self, upstream, zone="mtl-a", born=1, **status):
+        self.write(
+            "servers",
+            upstream.name,
+            entry_of(upstream, zone, born),
+            status_of(**status),
+        )
+
+    def node(self, name="n1", zone="mtl-a", ready=True):
+        """Start a node; its UDP port is free at this moment."""
+        client = StoreClient(self.store.listener.address, self.clock)
+        platform = Platform(
+            kinds=KINDS,
+            names=HEADERS,
+            source=client,
+            register=client,
+            decode_config=decode_config,
+            decode_upstream=upstream_decoder(ZONES),
+            decode_node=decode_node,
+            decode_query=decode_query,
+            encode_addresses=encode_addresses,
+            ready_path=PATH_READY,
+            directory_path=PATH_DIRECTORY,
+        )
+        bounds = Bounds(0.2, 60, 10_000, 0.15, self.grace_ms)
+        addresses = NodeAddresses(LOCAL, LOCAL, LOCAL, LOCAL)
+        place = Place(zone, ZONES[zone])
+        run_id = f"run-{len(self.nodes)}"
+        node = EntryNode(name, run_id, place, addresses, bounds, platform, self.clock)
+        node.start()
+        self.nodes.append(node)
+        if ready:
+            eventually(node.is_ready)
+            eventually(lambda: len(node.state.upstreams.by_name) == len(self.upstreams))
+        return node
+
+
+def connect(listener):
+    return Client(listener.address, HEADERS.request_id)
+
+
+def ask(listener, target, **fields):
+    client = connect(listener)
+    client.send(target, **fields)
+    return client.answer()
--- a/tests/bilberry_router/entry/common.py
+++ b/tests/bilberry_router/entry/common.py
@@ -83,7 +83,8 @@
 class Client:
     """Speak raw HTTP to a listener."""
 
-    def __init__(self, address):
+    def __init__(self, address, id_header=NAMES.request_id):
+        self.id_header = id_header
         host, _, port = address.rpartition(":")
         self.sock = gevent_socket.create_connection((host, int(port)), timeout=20)
         self.data = b""
@@ -92,7 +93,7 @@
         lines = [
             f"{method} {target} HTTP/1.1",
             f"Host: {HOST}",
-            f"{NAMES.request_id}: {request_id}",
+            f"{self.id_header}: {request_id}",
             *headers,
         ]
         if body:
