--- a/packages/bilberry_router/src/bilberry_router/entry/placing.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placing.py
@@ -154,6 +154,7 @@
         """Choose an upstream now and take its room."""
         state = self.state
         now_ms = state.clock.now_ms()
+        state.begin_shares(now_ms)
         choice = state.chooser.choose(
             need, state.upstreams.takes_work, state.guard.pick, now_ms
         )
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -11,6 +11,7 @@
 from bilberry_core.clock import Clock
 from bilberry_core.ids import stable_hash
 from bilberry_resources.routing import CallerLimits, PoolRule, RouteRule, RoutingConfig
+from bilberry_steering.first_shares import first_shares
 from bilberry_steering.route_table import RouteTable
 from bilberry_steering.shift_guard import ShiftGuard
 
@@ -109,6 +110,16 @@
             budget.burst = burst
             budget.tokens = min(budget.tokens, burst)
 
+    def begin_shares(self, now_ms: int) -> None:
+        """Guess the first shares of the regions, before any request."""
+        if self.guard.shares:
+            return
+        room: dict[str, float] = {}
+        for upstream in self.upstreams.by_name.values():
+            region = upstream.spec.region
+            room[region] = room.get(region, 0.0) + upstream.spec.slots
+        self.guard.begin(first_shares(room, self.place.region), now_ms)
+
     def in_flight(self) -> dict[str, int]:
         """Return this node's requests at each upstream, zeros left out."""
         return {
--- a/packages/bilberry_steering/src/bilberry_steering/shift_guard.py
+++ b/packages/bilberry_steering/src/bilberry_steering/shift_guard.py
@@ -11,11 +11,11 @@
     SHIFT_GUARD_CREDIT,
     SHIFT_GUARD_PART,
     SHIFT_GUARD_RELAX_MS,
+    SHIFT_GUARD_SETTLE_MS,
     SHIFT_GUARD_SPAN_MS,
     SHIFT_GUARD_VOTE_WEIGHT,
 )
 
-MIN_COUNTED = 20
 MAX_STEP_MS = 500
 
 
@@ -29,7 +29,6 @@
     """
 
     __slots__ = (
-        "counted",
         "credits",
         "max_per_ms",
         "moved_at_ms",
@@ -41,7 +40,6 @@
     def __init__(self, max_share: float) -> None:
         self.max_per_ms = 0.0
         self.set_bound(max_share)
-        self.counted = 0
         self.moved_at_ms = 0
         self.relaxed_until_ms = 0
         self.votes: dict[str, float] = {}
@@ -52,6 +50,12 @@
         """Take over the largest part that may change in a span."""
         self.max_per_ms = max_share * SHIFT_GUARD_PART / SHIFT_GUARD_SPAN_MS
 
+    def begin(self, shares: dict[str, float], now_ms: int) -> None:
+        """Start from shares that are expected to suit, before any request."""
+        self.votes = dict(shares)
+        self.shares = dict(shares)
+        self.moved_at_ms = now_ms
+
     def relax(self, now_ms: int) -> None:
         """Lift the bound for a while, as after the loss of an upstream."""
         self.relaxed_until_ms = now_ms + SHIFT_GUARD_RELAX_MS
@@ -64,7 +68,7 @@
         if not wanted:
             return None
         self._vote(wanted[0])
-        if self.counted < MIN_COUNTED or now_ms < self.relaxed_until_ms:
+        if not self.shares or now_ms < self.relaxed_until_ms:
             return wanted[0]
         self._move(now_ms)
         for region in wanted:
@@ -75,8 +79,7 @@
 
     def note(self, region: str, now_ms: int) -> None:
         """Count a request that is sent to `region`."""
-        self.counted += 1
-        if self.counted < MIN_COUNTED or now_ms < self.relaxed_until_ms:
+        if not self.shares or now_ms < self.relaxed_until_ms:
             self.shares = dict(self.votes)
             self.credits.clear()
             self.moved_at_ms = now_ms
@@ -101,8 +104,9 @@
         names = {*self.votes, *self.shares}
         steps = {n: self.votes.get(n, 0.0) - self.shares.get(n, 0.0) for n in names}
         distance = sum(abs(step) for step in steps.values()) / 2
-        most = self.max_per_ms * min(MAX_STEP_MS, now_ms - self.moved_at_ms)
+        passed_ms = min(MAX_STEP_MS, now_ms - self.moved_at_ms)
         self.moved_at_ms = now_ms
-        part = 1.0 if distance <= most else most / distance
+        most = min(self.max_per_ms, distance / SHIFT_GUARD_SETTLE_MS) * passed_ms
+        part = most / distance if distance > 0 else 0.0
         for name, step in steps.items():
             self.shares[name] = self.shares.get(name, 0.0) + part * step
--- a/tests/bilberry_steering/test_shift_guard.py
+++ b/tests/bilberry_steering/test_shift_guard.py
@@ -24,6 +24,8 @@
     """Send requests through several nodes; `wanted` gives their region."""
     rng = random.Random(7)
     guards = [ShiftGuard(bound) for _ in range(nodes)]
+    for guard in guards:
+        guard.begin({wanted(0): 1.0}, 0)
     sent = []
     for now_ms in range(0, for_ms, 1_000 // per_s):
         guard = rng.choice(guards)
@@ -54,6 +56,7 @@
 
 def test_the_loss_of_an_upstream_lifts_the_bound_for_a_while():
     guard = ShiftGuard(BOUND)
+    guard.begin({"home": 1.0}, 0)
     for now_ms in range(0, 4_000, 20):
         guard.pick(["home"], now_ms)
         guard.note("home", now_ms)
@@ -64,6 +67,7 @@
 
 def test_a_region_without_credit_is_refused_even_if_it_alone_has_room():
     guard = ShiftGuard(BOUND)
+    guard.begin({"home": 1.0}, 0)
     for now_ms in range(0, 4_000, 20):
         guard.pick(["home"], now_ms)
         guard.note("home", now_ms)
