--- a/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
@@ -106,7 +106,7 @@
             u.name: u.load(self.loads.at(u.name), now_ms) / u.spec.slots
             for u in fitting
         }
-        busy = _busy_regions(fitting, loads)
+        busy = self._is_home_busy(fitting, loads)
         best: dict[str, Choice] = {}
         costs: dict[str, float] = {}
         for upstream in fitting:
@@ -129,20 +129,22 @@
         """Drop the cached ranks; call when a pool changes."""
         self.ranks.clear()
 
-    def _keeps_affinity(
-        self, upstream: Upstream, warmth: Warmth, busy: set[str]
-    ) -> bool:
+    def _is_home_busy(self, fitting: list[Upstream], loads: dict[str, float]) -> bool:
+        """Tell whether this region has little room for unknown objects."""
+        home = [loads[u.name] for u in fitting if u.spec.region == self.place.region]
+        return bool(home) and sum(home) >= BUSY_PART * len(home)
+
+    def _keeps_affinity(self, upstream: Upstream, warmth: Warmth, busy: bool) -> bool:
         """Tell whether the upstream may take an object it may not know.
 
         Work on an unknown object takes several times as long, and displaces
-        another object: in a region under load only first ranks do it.
+        another object: under load, or far away, only first ranks do it.
         """
         if warmth is Warmth.KNOWN or warmth is Warmth.FIRST_RANK:
             return True
-        if upstream.spec.region not in busy:
-            return True
-        is_home = upstream.spec.region == self.place.region
-        return is_home and warmth is Warmth.SECOND_RANK
+        if upstream.spec.region != self.place.region:
+            return False
+        return warmth is Warmth.SECOND_RANK or not busy
 
     def _has_room(self, upstream: Upstream, load: float, now_ms: int) -> bool:
         if upstream.is_blocked(now_ms):
@@ -184,16 +186,6 @@
         return ranks
 
 
-def _busy_regions(fitting: list[Upstream], loads: dict[str, float]) -> set[str]:
-    """Return the regions with little room for unknown objects."""
-    held: dict[str, list[float]] = {}
-    for upstream in fitting:
-        held.setdefault(upstream.spec.region, []).append(loads[upstream.name])
-    return {
-        region for region, parts in held.items() if sum(parts) >= BUSY_PART * len(parts)
-    }
-
-
 def _expected_ms(
     upstream: Upstream, work: WorkTimes, warmth: Warmth, now_ms: int
 ) -> float:
