Write JSON logs through a bounded writer; follow the settings file

Cause: a blocked reader of standard output would have stopped the node, and a changed settings file was ignored. Lines are queued and written without blocking, INFO lines at 100 a second, and what is dropped is told.

--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -92,18 +92,33 @@
         self.state.retry_budget(run.service).on_request(request.arrived_ms)
         answer = self.forward(run)
         if answer.status >= HTTPStatus.BAD_REQUEST:
-            _LOGGER.info(
-                "entry: Request %s on %s: %s %s after %s ms, %s attempts at %s.",
-                run.request_id,
-                rule.name,
-                answer.status,
-                answer.body.decode("latin-1") if not run.failed else "",
-                self.state.clock.now_ms() - request.arrived_ms,
-                run.attempts,
-                ",".join(run.tried),
-            )
+            self.log_failure(run, answer)
         return answer
 
+    def log_failure(self, run: Run, answer: EntryAnswer) -> None:
+        """Log what was decided for a request that failed, and on what."""
+        state = self.state
+        now_ms = state.clock.now_ms()
+        detail = "upstream's own" if run.failed else answer.body.decode("latin-1")
+        config = state.routes.config
+        _LOGGER.info(
+            "entry: Ended with %s, %s, after %s ms of %s; route %s in version %s, "
+            "service %s, key %s, attempts %s at [%s], load %s of %s.",
+            answer.status,
+            detail,
+            now_ms - run.request.arrived_ms,
+            run.ends_at_ms - run.request.arrived_ms,
+            run.rule.name,
+            config.version if config else 0,
+            run.service,
+            run.key,
+            run.attempts,
+            ",".join(sorted(run.tried)),
+            state.service_load(run.service, now_ms),
+            state.service_slots(run.service),
+            extra={"request_id": run.request_id},
+        )
+
     def timeout_ms(self, head: RequestHead, rule: RouteRule) -> int:
         """Return how long the request may take: its own or its route's."""
         text = head.first(self.names.timeout.lower()) or ""
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -120,6 +120,22 @@
             room[region] = room.get(region, 0.0) + upstream.spec.slots
         self.guard.begin(first_shares(room, self.place.region), now_ms)
 
+    def service_load(self, service: str, now_ms: int) -> int:
+        """Return what a service's upstreams have in flight, as known."""
+        pool = self.upstreams.pools.get(service, {})
+        return sum(u.load(self.loads.at(u.name), now_ms) for u in pool.values())
+
+    def service_slots(self, service: str) -> int:
+        """Return the slots of all of a service's upstreams."""
+        pool = self.upstreams.pools.get(service, {})
+        return sum(upstream.spec.slots for upstream in pool.values())
+
+    def set_bounds(self, bounds: Bounds) -> None:
+        """Take over changed bounds."""
+        self.bounds = bounds
+        self.guard.set_bound(bounds.max_region_shift)
+        self.retries.clear()
+
     def in_flight(self) -> dict[str, int]:
         """Return this node's requests at each upstream, zeros left out."""
         return {
--- /dev/null
+++ b/tests/bilberry_router/test_log_lines.py
@@ -0,0 +1,61 @@
+"""Logs are bounded, tell what they drop, and never hold up a request."""
+
+import logging
+import os
+
+import gevent
+import msgspec
+
+from bilberry_router.log_lines import (
+    LINE_BURST,
+    MAX_LINES_PER_S,
+    MAX_WAITING_LINES,
+    LineBudget,
+    LineWriter,
+)
+
+
+def record(message, level=logging.INFO, **extra):
+    made = logging.LogRecord("part", level, "", 0, message, None, None)
+    for name, value in extra.items():
+        setattr(made, name, value)
+    return made
+
+
+def test_a_flood_is_bounded_by_rate():
+    budget = LineBudget()
+    granted = sum(budget.take(now_ms) for now_ms in range(10_000))
+    assert granted <= LINE_BURST + 10 * MAX_LINES_PER_S
+    assert budget.dropped == 10_000 - granted
+
+
+def test_a_reader_that_stops_costs_lines_not_time():
+    reading, writing = os.pipe()
+    writer = LineWriter(writing)
+    writer.start()
+    for _ in range(3 * MAX_WAITING_LINES):
+        writer.emit(record("x" * 200, logging.WARNING))
+        gevent.sleep(0)
+    assert len(writer.lines) <= MAX_WAITING_LINES
+    assert writer.budget.dropped > 0
+    writer.task.kill()
+    os.close(reading)
+    os.close(writing)
+
+
+def test_lines_are_json_and_name_their_request():
+    reading, writing = os.pipe()
+    writer = LineWriter(writing)
+    writer.start()
+    writer.emit(record("entry: Ended.", request_id="r1"))
+    writer.budget.dropped = 7
+    writer.report_dropped()
+    writer.close()
+    lines = [
+        msgspec.json.decode(line) for line in os.read(reading, 65_536).splitlines()
+    ]
+    assert lines[0]["request_id"] == "r1"
+    assert lines[0]["message"] == "entry: Ended."
+    assert lines[1]["message"] == "log: Dropped 7 lines."
+    os.close(reading)
+    os.close(writing)
