Log late answers as well, with how long they waited

Cause: of the three kinds of complaint (refused, may have run, late) the last left no line. A line now tells the wait before the first send apart from the upstream's time.

--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -31,7 +31,12 @@
 
 @dataclass(slots=True)
 class Run:
-    """Hold a request on its way; times in monotonic ms."""
+    """Hold a request on its way; times in monotonic ms.
+
+    `first_sent_ms` is how long after its arrival it was first sent, -1
+    until then. `failed` is an upstream's own failure, kept for when no
+    other answer is to be had.
+    """
 
     request: EntryRequest
     rule: RouteRule
@@ -40,6 +45,7 @@
     key: str
     ends_at_ms: int
     attempts: int = 0
+    first_sent_ms: int = -1
     maybe_run: bool = False
     tried: set[str] = field(default_factory=set)
     failed: EntryAnswer | None = None
@@ -91,23 +97,25 @@
         )
         self.state.retry_budget(run.service).on_request(request.arrived_ms)
         answer = self.forward(run)
-        if answer.status >= HTTPStatus.BAD_REQUEST:
-            self.log_failure(run, answer)
+        took_ms = self.state.clock.now_ms() - request.arrived_ms
+        if answer.status >= HTTPStatus.BAD_REQUEST or took_ms > rule.target_ms:
+            self.log_end(run, answer, took_ms)
         return answer
 
-    def log_failure(self, run: Run, answer: EntryAnswer) -> None:
-        """Log what was decided for a request that failed, and on what."""
+    def log_end(self, run: Run, answer: EntryAnswer, took_ms: int) -> None:
+        """Log what became of a request that failed or was late, and why."""
         state = self.state
         now_ms = state.clock.now_ms()
-        detail = "upstream's own" if run.failed else answer.body.decode("latin-1")
         config = state.routes.config
         _LOGGER.info(
-            "entry: Ended with %s, %s, after %s ms of %s; route %s in version %s, "
-            "service %s, key %s, attempts %s at [%s], load %s of %s.",
+            "entry: Ended with %s, %s, after %s ms of %s, first sent after %s ms; "
+            "route %s in version %s, service %s, key %s, attempts %s at [%s], "
+            "load %s of %s.",
             answer.status,
-            detail,
-            now_ms - run.request.arrived_ms,
+            answer.detail or "upstream's answer",
+            took_ms,
             run.ends_at_ms - run.request.arrived_ms,
+            run.first_sent_ms,
             run.rule.name,
             config.version if config else 0,
             run.service,
@@ -163,6 +171,8 @@
             run.ends_at_ms,
             run.rule.idempotent,
         )
+        if run.first_sent_ms < 0:
+            run.first_sent_ms = now_ms - run.request.arrived_ms
         run.request.on_gone = attempt.cancel
         run.tried.add(upstream.name)
         try:
--- a/packages/bilberry_router/src/bilberry_router/entry/messages.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/messages.py
@@ -46,13 +46,14 @@
 
 @dataclass(slots=True)
 class EntryAnswer:
-    """Hold a whole answer to a caller."""
+    """Hold a whole answer to a caller; `detail` says why this node made it."""
 
     status: int
     headers: Headers = field(default_factory=list)
     body: bytes = b""
     reason: str = ""
     close: bool = False
+    detail: str = ""
 
     @property
     def status_line(self) -> str:
@@ -67,4 +68,4 @@
 ) -> EntryAnswer:
     """Return an answer made by the node itself, in plain text."""
     head = [("Content-Type", "text/plain; charset=utf-8"), *(headers or [])]
-    return EntryAnswer(int(status), head, detail.encode())
+    return EntryAnswer(int(status), head, detail.encode(), detail=detail)
--- a/tests/bilberry_router/entry/test_forwarder.py
+++ b/tests/bilberry_router/entry/test_forwarder.py
@@ -216,3 +216,40 @@
                 upstream.blocked_until_ms = 0
         extra = len(rig.ran) - 60
         assert 0 < extra <= 0.2 * 60 + 60 / 10
+
+
+def messages(caplog, request_id):
+    return [
+        record.getMessage()
+        for record in caplog.records
+        if getattr(record, "request_id", "") == request_id
+    ]
+
+
+def test_a_failed_request_leaves_one_line_that_names_its_cause(caplog):
+    caplog.set_level("INFO")
+    with Rig() as rig:
+        for upstream in rig.upstreams:
+            upstream.faults.script = [None]
+        secret = b"card number 1234"
+        rig.ask("/book/x", method="POST", body=secret, request_id="lost")
+        rig.ask("/empty/x", request_id="refused")
+        (lost,) = messages(caplog, "lost")
+        assert "Ended with 502, awaiting_answer" in lost
+        assert "route book in version 1, service s" in lost
+        (refused,) = messages(caplog, "refused")
+        assert "Ended with 503, no room" in refused
+        assert "first sent after -1 ms" in refused
+        assert "1234" not in caplog.text
+
+
+def test_a_late_answer_leaves_a_line_too_and_a_prompt_one_does_not(caplog):
+    caplog.set_level("INFO")
+    with Rig(count=1) as rig:
+        rig.ask("/read/x", request_id="prompt")
+        rig.state.install(config(2, (route("read", "/read/", target_ms=0),)))
+        rig.upstreams[0].work_ms = 20
+        rig.ask("/read/x", request_id="late")
+        assert messages(caplog, "prompt") == []
+        (late,) = messages(caplog, "late")
+        assert "Ended with 200, upstream's answer" in late
