--- a/packages/bilberry_steering/src/bilberry_steering/intervals.py
+++ b/packages/bilberry_steering/src/bilberry_steering/intervals.py
@@ -2,21 +2,44 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
+from bilberry_resources.snapshot import Snapshot
+
+from .buckets import Bucket
 from .const import HASH_SLOTS
+from .draws import Draw
 from .routes import Offered
-from .views import Segment, ServiceView
+from .tallies import Tallies
+from .views import GroupView, Segment, ServiceView
+
+
+class Steering(Protocol):
+    """Give the rules of a node for single requests."""
+
+    snapshot: Snapshot
+    tallies: Tallies
+
+    def order(
+        self, view: ServiceView, group: GroupView, owner: str, now_ms: int
+    ) -> list[str]:
+        """Return the regions to try, the best first."""
+        ...
+
+    def step_bucket(self, view: ServiceView) -> Bucket | None:
+        """Return the bucket of a running step, None without one."""
+        ...
 
-if TYPE_CHECKING:
-    from .node import NodeSteering
+    def draw_for(self, view: ServiceView, region: str) -> Draw:
+        """Return what a service may draw on in a region."""
+        ...
 
 
 @dataclass(slots=True)
 class Interval:
     """Steer one group's requests, spread evenly over an interval."""
 
-    node: "NodeSteering"
+    node: Steering
     view: ServiceView
     key: str
     offered: Offered
