Refuse requests that took three upstreams down

A request may crash each upstream that runs it and come again, at any node. The quarantine table of the product is reused, with three deaths.

--- a/packages/bilberry_balance/src/bilberry_balance/quarantine.py
+++ b/packages/bilberry_balance/src/bilberry_balance/quarantine.py
@@ -60,12 +60,13 @@
 class Suspicion:
     """Hold the deaths seen under one fingerprint."""
 
+    limit: int = DEATHS_TO_QUARANTINE
     deaths: list[Death] = field(default_factory=list)
     until_ms: int = 0
 
     def is_quarantined(self) -> bool:
         """Tell whether it died often enough to be refused."""
-        return len(self.deaths) >= DEATHS_TO_QUARANTINE
+        return len(self.deaths) >= self.limit
 
     def add(self, upstream: str, at_ms: int, in_trial: bool = False) -> bool:
         """Count a death unless it belongs to a crash known already."""
@@ -123,11 +124,17 @@
 class QuarantineTable:
     """Own this node's view of suspect and quarantined requests."""
 
-    __slots__ = ("limit", "members", "node", "suspicions", "trials")
+    __slots__ = ("deaths", "limit", "members", "node", "suspicions", "trials")
 
-    def __init__(self, node: str, limit: int = DEFAULT_QUARANTINE_LIMIT) -> None:
+    def __init__(
+        self,
+        node: str,
+        limit: int = DEFAULT_QUARANTINE_LIMIT,
+        deaths: int = DEATHS_TO_QUARANTINE,
+    ) -> None:
         self.node = node
         self.limit = limit
+        self.deaths = deaths
         self.members: tuple[str, ...] = (node,)
         self.suspicions: OrderedDict[str, Suspicion] = OrderedDict()
         self.trials: dict[str, Trial] = {}
@@ -185,7 +192,7 @@
         trial's is always a new one.
         """
         self._release(fingerprint)
-        suspicion = self._live(fingerprint, now_ms) or Suspicion()
+        suspicion = self._live(fingerprint, now_ms) or Suspicion(self.deaths)
         suspicion.add(upstream, now_ms, in_trial)
         self._keep(fingerprint, suspicion)
         return self._note(fingerprint, suspicion, now_ms)
@@ -209,7 +216,7 @@
             return
         if note.left_ms <= 0 or note.trial_ended:
             return
-        suspicion = suspicion or Suspicion()
+        suspicion = suspicion or Suspicion(self.deaths)
         for death in note.deaths:
             at_ms = now_ms - max(0, death.ago_ms)
             suspicion.add(death.upstream, at_ms, death.in_trial)
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from bilberry_balance.quarantine import SuspectNote
+
 from .const import FAR_TIMEOUT_MS, NEAR_TIMEOUT_MS
 
 
@@ -21,7 +23,8 @@
 class Heartbeat(msgspec.Struct, array_like=True):
     """Carry a node's state to its peers, in one datagram.
 
-    `in_flight` holds its requests at each upstream, zeros left out.
+    `in_flight` holds its requests at each upstream, zeros left out, and
+    `suspects` the requests that were seen to crash upstreams.
     """
 
     node: NodeInfo
@@ -29,6 +32,7 @@
     ready: bool
     config_version: int
     in_flight: dict[str, int]
+    suspects: list[SuspectNote] = []
 
 
 @dataclass(slots=True)
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -69,6 +69,10 @@
                 "entry: Upstream %s is unreachable: %s.", upstream.name, outcome.reason
             )
         upstream.on_unreachable(now_ms)
+        for fingerprint in self.state.crashes.on_unreachable(upstream.name, now_ms):
+            _LOGGER.warning(
+                "entry: Upstream %s went down under %s.", upstream.name, fingerprint
+            )
         self.state.guard.relax(now_ms)
 
     def _note_shed(
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -8,6 +8,7 @@
 from bilberry_balance.outcomes import FailurePoint, Verdict, judge
 from bilberry_balance.placement.admission import Refusal
 from bilberry_balance.placement.chooser import Choice, Need
+from bilberry_balance.placement.crashes import fingerprint_of
 from bilberry_core.const import HEADER_RETRY_AFTER, MS_PER_SECOND
 from bilberry_resources.routing import RouteRule
 
@@ -25,6 +26,7 @@
 
 HEADER_HOST = "host"
 NO_CONFIG_RETRY_MS = 500
+BROKEN_OFF = frozenset({FailurePoint.AWAITING_ANSWER, FailurePoint.MID_ANSWER})
 LEAVING_RETRY_MS = 50
 UNSENT = frozenset({FailurePoint.DURING_CONNECT, FailurePoint.BEFORE_CONNECT})
 
@@ -50,6 +52,12 @@
     tried: set[str] = field(default_factory=set)
     failed: EntryAnswer | None = None
 
+    def fingerprint(self) -> str:
+        """Return what the repeats of this request have in common."""
+        request = self.request
+        head = request.head
+        return fingerprint_of(request.client, head.method, head.target, request.body)
+
     def left_ms(self, now_ms: int) -> int:
         """Return the time until the final answer."""
         return max(0, self.ends_at_ms - now_ms)
@@ -96,7 +104,7 @@
             request.arrived_ms + self.timeout_ms(head, rule),
         )
         self.state.retry_budget(run.service).on_request(request.arrived_ms)
-        answer = self.forward(run)
+        answer = self.refuse_crashing(run) or self.forward(run)
         took_ms = self.state.clock.now_ms() - request.arrived_ms
         if answer.status >= HTTPStatus.BAD_REQUEST or took_ms > rule.target_ms:
             self.log_end(run, answer, took_ms)
@@ -135,6 +143,17 @@
             return min(int(text), limit_ms)
         return limit_ms
 
+    def refuse_crashing(self, run: Run) -> EntryAnswer | None:
+        """Refuse a request that keeps crashing upstreams."""
+        crashes = self.state.crashes
+        if not crashes.table.suspicions:
+            return None
+        now_ms = self.state.clock.now_ms()
+        refused = crashes.refuses(run.fingerprint(), now_ms)
+        if refused is None:
+            return None
+        return refusal_answer("request quarantined", refused.retry_after_ms)
+
     def forward(self, run: Run) -> EntryAnswer:
         """Place and send the request until there is a final answer."""
         while True:
@@ -184,9 +203,19 @@
             run.attempts += 1
         outcome.point = read_point(outcome, self.names)
         work = self.state.work_times(run.rule, run.service)
+        self.note_crash(run, choice, outcome)
         self.accounts.settle(choice, outcome, work, now_ms)
         return outcome
 
+    def note_crash(self, run: Run, choice: Choice, outcome: Outcome) -> None:
+        """Note an answer that may have been lost in a crash, or was not."""
+        crashes = self.state.crashes
+        now_ms = self.state.clock.now_ms()
+        if outcome.point in BROKEN_OFF:
+            crashes.on_lost(run.fingerprint(), choice.upstream.name, now_ms)
+        elif outcome.point is None and crashes.table.suspicions:
+            crashes.on_answer(run.fingerprint(), now_ms)
+
     def may_try_again(self, run: Run, outcome: Outcome) -> bool:
         """Tell whether an upstream's own failure is worth another try."""
         if not is_own_failure(outcome) or not run.rule.idempotent:
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -110,12 +110,15 @@
             self.is_ready() and not self.leaving,
             config.version if config else 0,
             self.state.in_flight(),
+            self.state.crashes.notes(self.state.clock.now_ms()),
         )
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Take over a peer's load."""
+        """Take over a peer's load and what it saw crash upstreams."""
         name = heartbeat.node.name
-        self.state.loads.tell(name, heartbeat.in_flight, self.state.clock.now_ms())
+        now_ms = self.state.clock.now_ms()
+        self.state.loads.tell(name, heartbeat.in_flight, now_ms)
+        self.state.crashes.merge(heartbeat.suspects, now_ms)
         self.count()
 
     def count(self) -> None:
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -4,6 +4,7 @@
 
 from bilberry_balance.placement.chooser import Chooser, Place
 from bilberry_balance.placement.cold_turns import ColdTurns
+from bilberry_balance.placement.crashes import CrashWatch
 from bilberry_balance.placement.directory import UpstreamDirectory
 from bilberry_balance.placement.peer_loads import PeerLoads
 from bilberry_balance.placement.work_times import WorkTimes
@@ -48,6 +49,7 @@
     loads: PeerLoads = field(init=False)
     chooser: Chooser = field(init=False)
     guard: ShiftGuard = field(init=False)
+    crashes: CrashWatch = field(init=False)
     work: dict[str, WorkTimes] = field(default_factory=dict)
     retries: dict[str, RetryBudget] = field(default_factory=dict)
     known_nodes: int = 1
@@ -62,6 +64,7 @@
             self.place, self.upstreams.pools, self.loads, self.cold_turns
         )
         self.guard = ShiftGuard(self.bounds.max_region_shift)
+        self.crashes = CrashWatch(self.node)
 
     @property
     def limits(self) -> CallerLimits:
--- a/tests/bilberry_router/entry/test_forwarder.py
+++ b/tests/bilberry_router/entry/test_forwarder.py
@@ -253,3 +253,24 @@
         assert messages(caplog, "prompt") == []
         (late,) = messages(caplog, "late")
         assert "Ended with 200, upstream's answer" in late
+
+
+def test_a_request_that_takes_upstreams_down_is_refused_in_the_end():
+    with Rig(count=4, work_ms=0) as rig:
+        rig.state.retry_budget("s").tokens = 1_000
+        for round_number in range(4):
+            for upstream in rig.upstreams:
+                upstream.faults.script = [None]
+            before = len(rig.ran)
+            answer = rig.ask("/book/x", method="POST", body=b"poison")
+            if len(rig.ran) == before:
+                break
+            assert answer.status == 502
+            crashed = next(u for u in rig.upstreams if not u.faults.script)
+            now_ms = rig.clock.now_ms() - 5_000 * (4 - round_number)
+            lost = rig.state.crashes.lost.pop()
+            rig.state.crashes.on_lost(lost.fingerprint, crashed.name, now_ms)
+            rig.state.crashes.on_unreachable(crashed.name, now_ms)
+        assert len(rig.ran) == 3
+        assert answer.status == 503
+        assert rig.ask("/book/x", method="POST", body=b"sound").status == 502
