Remove a bound that nothing used, and a wrapper around a deque

Read-through: the retry budget needs no window, since tokens earned by requests hold the bound in every window; comments of constants stand above them.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -29,8 +29,8 @@
 SHEDS_TO_BLOCK = 2
 SHED_BLOCK_MS = 500
 
+# Part of the known nodes that may join before this node knows them.
 SPARE_NODES_PART = 0.6
-"""Part of the known nodes that may join before this node knows them."""
 COLD_WORK_FACTOR = 2.0
 COLD_RATE_PART = 0.9
 
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -8,8 +8,8 @@
 RETRY_BASE_MS = 100
 RETRY_MAX_MS = 800
 
+# How long upstreams may take to register again after a store outage.
 RETURN_GRACE_MS = 2_000
-"""How long upstreams may take to register again after a store outage."""
 
 NEAR_HEARTBEAT_MS = 250
 FAR_HEARTBEAT_MS = 1_000
--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -7,8 +7,8 @@
 CLOSE_LINGER_MS = 500
 
 DIAL_TIMEOUT_MS = 450
+# How long sent bytes may stay without a TCP acknowledgement.
 SILENT_PEER_MS = 1_000
-"""How long sent bytes may stay without a TCP acknowledgement."""
 DEFAULT_IDLE_MS = 4_000
 IDLE_MARGIN_MS = 1_000
 FRESH_IDLE_PART = 0.5
@@ -19,14 +19,14 @@
 QUEUE_MISSES = 30
 EXPIRE_TICK_MS = 200
 
+# Part of the retry bound that nodes plan with.
 RETRY_PART = 0.8
-"""Part of the retry bound that nodes plan with."""
 
 DIRECTORY_TTL_MS = 2_000
 MAX_DIRECTORY_NODES = 64
 
+# How long a leaving node goes on taking requests, at most.
 DRAIN_SERVE_MS = 2_500
-"""How long a leaving node goes on taking requests, at most."""
 DRAIN_SERVE_PART = 0.45
 DRAIN_MARGIN_MS = 300
 DRAIN_TICK_MS = 50
--- a/packages/bilberry_router/src/bilberry_router/entry/links.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/links.py
@@ -3,7 +3,7 @@
 import logging
 import socket
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from gevent import socket as gevent_socket
@@ -94,13 +94,6 @@
     reason: str = ""
 
 
-@dataclass(slots=True)
-class IdleLinks:
-    """Hold the idle connections to one address, the newest last."""
-
-    links: deque[Link] = field(default_factory=deque)
-
-
 class Links:
     """Own all connections from this node to upstreams."""
 
@@ -109,23 +102,16 @@
     def __init__(self, id_header: str, clock: Clock) -> None:
         self.id_header = id_header.lower()
         self.clock = clock
-        self.idle: dict[str, IdleLinks] = {}
+        self.idle: dict[str, deque[Link]] = {}
         self.dials = 0
 
     def close(self) -> None:
         """Close the idle connections."""
-        for held in self.idle.values():
-            for link in held.links:
+        for links in self.idle.values():
+            for link in links:
                 link.close()
         self.idle.clear()
 
-    def forget(self, address: str) -> None:
-        """Close the idle connections to an address."""
-        held = self.idle.pop(address, None)
-        if held is not None:
-            for link in held.links:
-                link.close()
-
     def exchange(self, address: str, attempt: Attempt) -> Outcome:
         """Send the request to `address` and receive its whole answer."""
         link = self._reuse(address, attempt.idempotent)
@@ -204,12 +190,10 @@
         return Outcome(point, parser, reason=reason)
 
     def _reuse(self, address: str, idempotent: bool) -> Link | None:
-        held = self.idle.get(address)
-        if held is None:
-            return None
+        links = self.idle.get(address)
         now_ms = self.clock.now_ms()
-        while held.links:
-            link = held.links.pop()
+        while links:
+            link = links.pop()
             limit_ms: float = link.idle_limit_ms
             if not idempotent:
                 limit_ms *= FRESH_IDLE_PART
@@ -221,7 +205,7 @@
     def _keep(self, address: str, link: Link, parser: AnswerParser) -> None:
         link.idle_since_ms = self.clock.now_ms()
         link.idle_limit_ms = _idle_limit_ms(parser.first(HEADER_KEEP_ALIVE))
-        self.idle.setdefault(address, IdleLinks()).links.append(link)
+        self.idle.setdefault(address, deque()).append(link)
 
     def _dial(self, address: str, attempt: Attempt) -> Link | Outcome:
         sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -7,6 +7,7 @@
 from gevent import Greenlet
 
 from bilberry_core.const import MS_PER_SECOND
+from bilberry_core.ids import stable_hash
 from bilberry_core.outcome import Failure
 from bilberry_fleet.discovery.const import RETRY_BASE_MS, RETRY_MAX_MS
 from bilberry_fleet.discovery.heartbeats import HeartbeatTask
@@ -79,8 +80,7 @@
 
     def register(self) -> None:
         """Write the node's entry, again until it is stored."""
-        backoff = Backoff(self.state.routes.rng.randrange(1 << 30))
-        backoff.base_ms, backoff.max_ms = RETRY_BASE_MS, RETRY_MAX_MS
+        backoff = Backoff(stable_hash(self.me.name), RETRY_BASE_MS, RETRY_MAX_MS)
         while True:
             stored = self.platform.register.put(self.me)
             if not isinstance(stored, Failure):
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -24,13 +24,12 @@
     """Hold the bounds that the operator sets for all nodes together.
 
     Retries of a service may be `retry_part` of its requests plus
-    `retry_slack` in any span of `retry_span_ms`; `max_region_shift` is the
-    largest part of a region's requests that may change region in 2 s.
+    `retry_slack` in any window; `max_region_shift` is the largest part of a
+    region's requests that may change region in 2 s.
     """
 
     retry_part: float
     retry_slack: float
-    retry_span_ms: int
     max_region_shift: float
     stop_grace_ms: int
 
--- a/tests/bilberry_platform/common.py
+++ b/tests/bilberry_platform/common.py
@@ -138,7 +138,7 @@
             ready_path=PATH_READY,
             directory_path=PATH_DIRECTORY,
         )
-        bounds = Bounds(0.2, 60, 10_000, 0.15, self.grace_ms)
+        bounds = Bounds(0.2, 60, 0.15, self.grace_ms)
         addresses = NodeAddresses(LOCAL, LOCAL, LOCAL, LOCAL)
         place = Place(zone, ZONES[zone])
         run_id = f"run-{len(self.nodes)}"
--- a/tests/bilberry_router/entry/common.py
+++ b/tests/bilberry_router/entry/common.py
@@ -37,7 +37,6 @@
 BOUNDS = Bounds(
     retry_part=0.2,
     retry_slack=60,
-    retry_span_ms=10_000,
     max_region_shift=0.15,
     stop_grace_ms=6_000,
 )
