--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -66,18 +66,23 @@
     def leave(self) -> None:
         """Tell the others that this node takes no new callers."""
         self.leaving = True
-        if self.task is not None:
-            self.task.kill()
-            self.task = None
+        self.stop_registering()
         self.heartbeats.send_now()
 
     def close(self) -> None:
         """Remove the node's entry and stop."""
+        self.stop_registering()
         deleted = self.platform.register.delete(self.me.name)
         if isinstance(deleted, Failure):
             _LOGGER.warning("fleet: Entry not removed: %s.", deleted.failure())
         self.heartbeats.close()
 
+    def stop_registering(self) -> None:
+        """Write the node's entry no more."""
+        if self.task is not None:
+            self.task.kill()
+            self.task = None
+
     def register(self) -> None:
         """Write the node's entry, again until it is stored."""
         backoff = Backoff(stable_hash(self.me.name), RETRY_BASE_MS, RETRY_MAX_MS)
--- a/tests/bilberry_platform/test_life.py
+++ b/tests/bilberry_platform/test_life.py
@@ -62,3 +62,17 @@
         assert 0 < DRAIN_SERVE_PART < 0.5
         assert machines.store.table.get("nodes", "n1") is None
         machines.nodes.clear()
+
+
+def test_a_closed_node_writes_its_entry_no_more():
+    with Machines() as machines:
+        machines.store.faults.down_status = 503
+        node = machines.node(ready=False)
+        eventually(lambda: any(c.startswith("POST") for c in machines.store.calls))
+        node.close()
+        machines.nodes.clear()
+        machines.store.faults.down_status = 0
+        machines.store.calls.clear()
+        gevent.sleep(1.0)
+        assert machines.store.calls == []
+        assert machines.store.table.get("nodes", "n1") is None
