Tell the other nodes of a death before the caller is answered

Cause: a node shared the death of an upstream under a request only as a shared entry, which goes by heartbeats and takes about a second. Ruled out: trials (one request alone keeps its bound of two), the merging of notes in other orders (the notes had not arrived). Change: the node calls up to 64 other nodes at once, near ones first, and waits 250 ms for them at most.

--- a/packages/bilberry_router/src/bilberry_router/forward/keyed/parts.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/keyed/parts.py
@@ -1,19 +1,33 @@
 """Wire the parts that handle idempotency keys."""
 
+import logging
+
+import gevent
+
+from bilberry_balance.quarantine import SuspectNote
 from bilberry_core.clock import Clock
+from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.ids import new_uuid7
+from bilberry_core.outcome import Failure
 from bilberry_fleet.auth import Signer
 from bilberry_fleet.const import DEFAULT_AUTH_SKEW_MS
+from bilberry_fleet.messages import Member
 
 from ...state import NodeState
 from ..suspects import Suspects
 from .desk import KeyDesk
 from .epochs import EpochStore, EpochTask
 from .messages import Taken, TrialCall
-from .peers import PATH_TRIAL, PeerCalls, PeerDesk
+from .peers import PATH_NOTE, PATH_TRIAL, PeerCalls, PeerDesk
 from .requests import KeyedRequests
 
+_LOGGER = logging.getLogger(__name__)
+
 TRIAL_WAIT_MS = 500
+# How long an answer waits for the other nodes to know of a death.
+NOTE_WAIT_MS = 250
+# Nodes beyond these, near ones first, hear by the shared entries alone.
+MAX_NOTED_NODES = 64
 
 
 class KeyParts:
@@ -39,7 +53,9 @@
         self.peers = PeerDesk(self.desk, suspects, signer)
         self.epochs = EpochTask(state, store, self.desk, self.calls, clock)
         self.requests = KeyedRequests(self.desk, self.epochs, self.calls, clock)
+        self.state = state
         suspects.ask_trial = self.ask_trial
+        suspects.tell_peers = self.tell_peers
 
     def start(self) -> None:
         """Begin to keep the epoch."""
@@ -60,3 +76,28 @@
         call = TrialCall(fingerprint, limit_ms)
         result = self.calls.call(address, PATH_TRIAL, call, Taken, TRIAL_WAIT_MS)
         return bool(result.map(lambda reply: reply.taken).value_or(False))
+
+    def tell_peers(self, note: SuspectNote) -> None:
+        """Tell the other nodes of a suspect, and wait a little for them."""
+        calls = [
+            gevent.spawn(self.tell, member.peer_address, note)
+            for member in self.noted_nodes()
+        ]
+        gevent.joinall(calls, timeout=NOTE_WAIT_MS / MS_PER_SECOND)
+
+    def tell(self, address: str, note: SuspectNote) -> None:
+        """Tell one node of a suspect; a lost call is not repeated."""
+        result = self.calls.call(address, PATH_NOTE, note, Taken, NOTE_WAIT_MS)
+        if isinstance(result, Failure):
+            _LOGGER.info("keys: %s was not told: %s.", address, result.failure())
+
+    def noted_nodes(self) -> list[Member]:
+        """Return the other nodes to tell at once, near ones first."""
+        own = self.state.settings.node
+        others = [
+            member
+            for member in self.state.members
+            if member.name != own.name and member.peer_address
+        ]
+        others.sort(key=lambda member: (member.region != own.region, member.name))
+        return others[:MAX_NOTED_NODES]
--- a/packages/bilberry_router/src/bilberry_router/forward/keyed/peers.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/keyed/peers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from bilberry_balance.quarantine import SuspectNote
 from bilberry_core.clock import Clock
 from bilberry_core.outcome import Failure, Result
 from bilberry_core.registry import Registry
@@ -35,6 +36,7 @@
 PATH_HANDOVER = f"{PREFIX}handover"
 PATH_EPOCH = f"{PREFIX}epoch"
 PATH_TRIAL = f"{PREFIX}trial"
+PATH_NOTE = f"{PREFIX}note"
 METHOD_POST = "POST"
 CONNECTIONS_PER_PEER = 64
 STATUS_REFUSED = 401
@@ -146,3 +148,9 @@
 @_register(PATH_TRIAL, TrialCall)
 def _trial(peers: PeerDesk, call: TrialCall) -> Any:
     return Taken(peers.suspects.grant(call.fingerprint, call.limit_ms))
+
+
+@_register(PATH_NOTE, SuspectNote)
+def _note(peers: PeerDesk, call: SuspectNote) -> Any:
+    peers.suspects.take_note(call)
+    return Taken(True)
--- a/packages/bilberry_router/src/bilberry_router/forward/suspects.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/suspects.py
@@ -45,17 +45,19 @@
 class Suspects:
     """Own the quarantine table and its exchange with peers.
 
-    `send_note` shares what was seen here; `ask_trial` asks another node
-    for the one trial that may run at a time.
+    `send_note` shares what was seen here with every node in time, and
+    `tell_peers` with those that can be reached at once; `ask_trial` asks
+    another node for the one trial that may run at a time.
     """
 
-    __slots__ = ("ask_trial", "clock", "node", "send_note", "table")
+    __slots__ = ("ask_trial", "clock", "node", "send_note", "table", "tell_peers")
 
     def __init__(self, node: str, clock: Clock) -> None:
         self.node = node
         self.clock = clock
         self.table = QuarantineTable(node)
         self.send_note: NoteSender = no_sharing
+        self.tell_peers: NoteSender = no_sharing
         self.ask_trial: TrialAsker = refuse_trial
 
     def check(self, request: ForwardRequest) -> int | None:
@@ -118,6 +120,7 @@
         fingerprint = fingerprint_of(request)
         note = self.table.on_death(fingerprint, endpoint, now_ms, request.on_trial)
         self.send_note(note)
+        self.tell_peers(note)
 
     def on_success(self, request: ForwardRequest) -> None:
         """Clear a suspect that was answered."""
@@ -126,6 +129,7 @@
         note = self.table.on_success(fingerprint_of(request), self.clock.now_ms())
         if note is not None:
             self.send_note(note)
+            gevent.spawn(self.tell_peers, note)
 
     def take_note(self, note: SuspectNote) -> None:
         """Take over what a peer has seen."""
