Wait for a key's hand-over instead of answering 409 at once

Requests in that moment got 409, though the hand-over comes within a tick of the former owner (700 ms). Change: the owner waits for the hand-over up to 2 s after the change, and no longer than the caller has time. Before: the new test fails (answered 409 at once). After: it passes.

--- a/packages/bilberry_router/src/bilberry_router/forward/keyed/desk.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/keyed/desk.py
@@ -20,7 +20,7 @@
     Unknown,
     WaitForFirst,
 )
-from bilberry_balance.ownership import Ownership
+from bilberry_balance.ownership import Ownership, Standing
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 
@@ -30,6 +30,8 @@
 
 RUN_MARGIN_MS = 5_000
 HANDED_POLL_MS = 50
+# How long after a change of owners the former one's keys may still arrive.
+HANDOVER_EXPECTED_MS = 2_000
 REASON_RESTARTED = "the key's owner was replaced"
 REASON_STILL_RUNNING = "the first request is still running"
 
@@ -60,7 +62,7 @@
         self.send_handover: Callable[[Handover], None] | None = None
 
     def begin(self, call: BeginCall) -> BeginReply:
-        """Decide on a key; wait while its first request is running."""
+        """Decide on a key; wait for its first request or its hand-over."""
         if call.target != self.member:
             return BeginReply(Decision.UNKNOWN, REASON_RESTARTED)
         end_ms = self.clock.now_ms() + call.wait_ms
@@ -69,6 +71,9 @@
             if run is not None and run.attempt == call.attempt:
                 return BeginReply(Decision.RUN)
             now_ms = self.clock.now_ms()
+            if now_ms < end_ms and self.awaits_handover(call.key, now_ms):
+                self.wait_for_end(None, end_ms - now_ms)
+                continue
             decision = self.table.begin(
                 call.key, call.fingerprint, now_ms, self.clock.wall_ms()
             )
@@ -81,6 +86,16 @@
                 return BeginReply(Decision.STILL_RUNNING, REASON_STILL_RUNNING)
             self.wait_for_end(run, end_ms - now_ms)
 
+    def awaits_handover(self, key: str, now_ms: int) -> bool:
+        """Tell whether the former owner's keys may come within moments."""
+        if key in self.table.entries:
+            return False
+        if self.ownership.standing(key, now_ms) is not Standing.SETTLING:
+            return False
+        newest = self.ownership.newest
+        assert newest is not None, "an owner knows its epoch"
+        return now_ms < newest.seen_ms + HANDOVER_EXPECTED_MS
+
     def wait_for_end(self, run: Run | None, left_ms: int) -> None:
         """Wait for a run here, or for news of one at a former owner."""
         if run is None:
--- /dev/null
+++ b/tests/bilberry_router/forward/keyed/test_awaited_handover.py
@@ -0,0 +1,71 @@
+"""A request whose key is being handed over waits for the hand-over."""
+
+import gevent
+
+from bilberry_core.clock import SystemClock
+from bilberry_core.ids import new_uuid7
+from tests.bilberry_router.forward.common import eventually
+
+from .common import Nodes, counting
+
+
+def new_key():
+    return new_uuid7(SystemClock())
+
+
+class HeldHandovers:
+    """Keep hand-overs back until they are let go."""
+
+    def __init__(self, nodes):
+        self.held = []
+        self.send = {}
+        for rig in nodes.rigs:
+            desk = rig.forwarder.keys.desk
+            self.send[desk.member] = desk.send_handover
+            desk.send_handover = self.held.append
+
+    def let_go(self):
+        for handover in self.held:
+            self.send[handover.source](handover)
+
+
+def key_that_moves(nodes, target):
+    """Return a key that `target` takes over once it is alone."""
+    while True:
+        key = new_key()
+        if nodes.owner(key) != target:
+            return key
+
+
+def test_a_booking_waits_until_its_key_is_handed_over():
+    with Nodes(counting) as nodes, eventually(5):
+        key = key_that_moves(nodes, 0)
+        held = HeldHandovers(nodes)
+        nodes.join(0)
+        booking = gevent.spawn(nodes.ask, 0, key)
+        gevent.sleep(0.15)
+        assert not booking.ready()
+        held.let_go()
+        assert booking.get().status == 201
+        assert len(nodes.executions) == 1
+
+
+def test_a_caller_in_a_hurry_is_answered_within_its_time():
+    with Nodes(counting) as nodes, eventually(5):
+        key = key_that_moves(nodes, 0)
+        HeldHandovers(nodes)
+        nodes.join(0)
+        hurry = ["X-Request-Timeout-Ms: 200"]
+        answer = nodes.ask(0, key, headers=hurry)
+        assert (answer.status, answer.outcome) == (409, "unknown")
+        assert nodes.executions == []
+
+
+def test_without_a_handover_the_answer_is_unknown_after_two_seconds():
+    with Nodes(counting) as nodes, eventually(5):
+        key = key_that_moves(nodes, 0)
+        HeldHandovers(nodes)
+        nodes.join(0)
+        answer = nodes.ask(0, key)
+        assert (answer.status, answer.outcome) == (409, "unknown")
+        assert nodes.executions == []
