Keep objects at their first upstream; wait rather than displace others

Work on a forgotten object takes 3.3 times as long and always misses its objective. Ruled out: too few upstreams (memory suffices for 2.6 copies of each object), expiry by time (gaps of 20 s are fast where few objects came between). Change: a request away from its object's first rank is charged with the work that others lose; a short wait for a full upstream that knows the object goes before displacing others or going far. The longer it has waited, the less it waits on; a late request takes any room of a calm region. Queued requests try at once, not at the next tick.

Serve metrics; log refusals and failed attempts with their facts

The library that renders them is loaded at the first query (4 MB). Lines of requests carry the fields of a typed event; 1 of 200 prompt answers is logged too.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
@@ -2,29 +2,27 @@
 
 Answers uneven regions and waves of load: own and peers' requests tell which
 upstreams have room, the object's key which of them work fast, and a region
-that is short of room spills into others before a queue builds up.
+that is short of room spills into others before its queue gets long.
 """
 
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import StrEnum
 
-from bilberry_core.ids import rendezvous_order
-
 from .cold_turns import ColdTurns
 from .const import (
     BUSY_PART,
-    COLD_WORK_FACTOR,
     OTHER_REGION_MS,
     OTHER_REGION_RESERVE,
     SAME_DOMAIN_MS,
     SAME_REGION_MS,
 )
+from .costs import NO_WAIT, NOT_WAITED, Waited, displaced_ms, wait_ms, work_ms
 from .peer_loads import PeerLoads
+from .ranks import KeyRanks
 from .upstream import Upstream
 from .work_times import Warmth, WorkTimes
 
-MAX_CACHED_RANKS = 4_096
 BALANCE_MS = 10.0
 
 RegionPicker = Callable[[list[str], int], str | None]
@@ -62,6 +60,37 @@
     expected_ms: float
 
 
+@dataclass(slots=True)
+class Offers:
+    """Hold the cheapest choice of each region, and what waiting costs."""
+
+    best: dict[str, Choice] = field(default_factory=dict)
+    costs: dict[str, float] = field(default_factory=dict)
+    wait_cost_ms: float = NO_WAIT
+
+    def add(self, choice: Choice, cost_ms: float) -> None:
+        """Keep a choice if it is the cheapest of its region."""
+        region = choice.upstream.spec.region
+        if region not in self.costs or cost_ms < self.costs[region]:
+            self.best[region] = choice
+            self.costs[region] = cost_ms
+
+    def regions(self) -> list[str]:
+        """Return the regions worth using now, the cheapest first."""
+        worth = [r for r, cost in self.costs.items() if cost <= self.wait_cost_ms]
+        return sorted(worth, key=self.costs.__getitem__)
+
+
+@dataclass(slots=True)
+class Survey:
+    """Count a service's upstreams by what keeps a request from them."""
+
+    known: int = 0
+    closed: int = 0
+    held_back: int = 0
+    full: int = 0
+
+
 class NoChoice(StrEnum):
     """Say why no upstream was chosen."""
 
@@ -85,7 +114,7 @@
         self.pools = pools
         self.loads = loads
         self.cold_turns = cold_turns
-        self.ranks: dict[tuple[str, str], dict[str, int]] = {}
+        self.ranks = KeyRanks(pools)
 
     def choose(
         self,
@@ -93,46 +122,76 @@
         usable: Callable[[Upstream], bool],
         pick_region: RegionPicker,
         now_ms: int,
+        waited: Waited = NOT_WAITED,
     ) -> Choice | NoChoice:
         """Return the cheapest upstream with room, or why there is none.
 
-        `pick_region` is given the regions with room, the cheapest first.
+        There is none either when a wait for an upstream that knows the
+        object should cost less. `pick_region` is given the regions with
+        room, the cheapest first.
         """
         pool = self.pools.get(need.service, {})
         fitting = [u for u in pool.values() if usable(u) and _fits(u, need)]
         if not fitting:
             return NoChoice.NO_UPSTREAM
+        offers = self._offers(need, fitting, now_ms, waited)
+        picked = pick_region(offers.regions(), now_ms)
+        return NoChoice.NO_ROOM if picked is None else offers.best[picked]
+
+    def survey(
+        self, need: Need, usable: Callable[[Upstream], bool], now_ms: int
+    ) -> Survey:
+        """Return why upstreams don't take a request now."""
+        survey = Survey()
+        for upstream in self.pools.get(need.service, {}).values():
+            load = upstream.load(self.loads.at(upstream.name), now_ms)
+            survey.known += 1
+            if not usable(upstream) or not _fits(upstream, need):
+                survey.closed += 1
+            elif self._is_held_back(upstream, now_ms):
+                survey.held_back += 1
+            elif not self._has_room(upstream, load / upstream.spec.slots):
+                survey.full += 1
+        return survey
+
+    def _offers(
+        self, need: Need, fitting: list[Upstream], now_ms: int, waited: Waited
+    ) -> Offers:
+        """Weigh the upstreams that fit a request.
+
+        A late request may displace objects where there is room to learn
+        them again; under load that would make others late.
+        """
         loads = {
             u.name: u.load(self.loads.at(u.name), now_ms) / u.spec.slots
             for u in fitting
         }
-        busy = self._is_home_busy(fitting, loads)
-        best: dict[str, Choice] = {}
-        costs: dict[str, float] = {}
+        home = [u for u in fitting if self._is_home(u)]
+        busy = sum(loads[u.name] for u in home) >= BUSY_PART * max(1, len(home))
+        ranks = self.ranks.of(need.service, need.key)
+        offers = Offers()
         for upstream in fitting:
-            if not self._has_room(upstream, loads[upstream.name], now_ms):
+            if self._is_held_back(upstream, now_ms):
                 continue
-            warmth = _warmth(upstream, need.key, self._ranks(need), now_ms)
-            if not self._keeps_affinity(upstream, warmth, busy):
-                continue
-            expected_ms = _expected_ms(upstream, need.work, warmth, now_ms)
-            cost = expected_ms + self._distance_ms(upstream)
-            cost += BALANCE_MS * loads[upstream.name]
-            region = upstream.spec.region
-            if region not in costs or cost < costs[region]:
-                best[region] = Choice(upstream, warmth, expected_ms)
-                costs[region] = cost
-        picked = pick_region(sorted(best, key=costs.__getitem__), now_ms)
-        return NoChoice.NO_ROOM if picked is None else best[picked]
-
-    def forget_ranks(self) -> None:
-        """Drop the cached ranks; call when a pool changes."""
-        self.ranks.clear()
-
-    def _is_home_busy(self, fitting: list[Upstream], loads: dict[str, float]) -> bool:
-        """Tell whether this region has little room for unknown objects."""
-        home = [loads[u.name] for u in fitting if u.spec.region == self.place.region]
-        return bool(home) and sum(home) >= BUSY_PART * len(home)
+            rank = ranks.get(upstream.name, 0)
+            warmth = _warmth(upstream, need.key, rank, now_ms)
+            expected_ms = work_ms(upstream, need.work, warmth, now_ms)
+            cost_ms = expected_ms + self._distance_ms(upstream)
+            cost_ms += displaced_ms(need.work, warmth, rank)
+            load = loads[upstream.name]
+            if self._has_room(upstream, load):
+                if self._keeps_affinity(upstream, warmth, busy):
+                    choice = Choice(upstream, warmth, expected_ms)
+                    offers.add(choice, cost_ms + BALANCE_MS * load)
+            elif self._is_worth_a_wait(upstream, warmth, now_ms):
+                cost_ms += wait_ms(upstream, need.work, waited, len(home))
+                offers.wait_cost_ms = min(offers.wait_cost_ms, cost_ms)
+        if waited.is_late and not busy:
+            offers.wait_cost_ms = NO_WAIT
+        return offers
+
+    def _is_home(self, upstream: Upstream) -> bool:
+        return upstream.spec.region == self.place.region
 
     def _keeps_affinity(self, upstream: Upstream, warmth: Warmth, busy: bool) -> bool:
         """Tell whether the upstream may take an object it may not know.
@@ -142,57 +201,33 @@
         """
         if warmth is Warmth.KNOWN or warmth is Warmth.FIRST_RANK:
             return True
-        if upstream.spec.region != self.place.region:
+        if not self._is_home(upstream):
             return False
         return warmth is Warmth.SECOND_RANK or not busy
 
-    def _has_room(self, upstream: Upstream, load: float, now_ms: int) -> bool:
+    def _is_held_back(self, upstream: Upstream, now_ms: int) -> bool:
+        """Tell whether failures or a cold start keep requests away."""
         if upstream.is_blocked(now_ms):
+            return True
+        cold = upstream.is_cold(now_ms)
+        return cold and not self.cold_turns.is_due(upstream, now_ms)
+
+    def _is_worth_a_wait(self, upstream: Upstream, warmth: Warmth, now_ms: int) -> bool:
+        """Tell whether a full upstream soon has room for its own objects."""
+        if not self._is_home(upstream) or upstream.is_cold(now_ms):
             return False
-        if upstream.is_cold(now_ms) and not self.cold_turns.is_due(upstream, now_ms):
-            return False
+        return warmth is Warmth.KNOWN or warmth is Warmth.FIRST_RANK
+
+    def _has_room(self, upstream: Upstream, load: float) -> bool:
         most = 1.0
-        if upstream.spec.region != self.place.region:
+        if not self._is_home(upstream):
             most -= OTHER_REGION_RESERVE
         return load + 1 / upstream.spec.slots <= most
 
     def _distance_ms(self, upstream: Upstream) -> float:
         if upstream.spec.failure_domain == self.place.failure_domain:
             return SAME_DOMAIN_MS
-        if upstream.spec.region == self.place.region:
-            return SAME_REGION_MS
-        return OTHER_REGION_MS
-
-    def _ranks(self, need: Need) -> dict[str, int]:
-        """Return each upstream's rank for the key among its region's."""
-        if not need.key:
-            return {}
-        cached = self.ranks.get((need.service, need.key))
-        if cached is None:
-            if len(self.ranks) >= MAX_CACHED_RANKS:
-                self.ranks.clear()
-            cached = self._new_ranks(need)
-            self.ranks[need.service, need.key] = cached
-        return cached
-
-    def _new_ranks(self, need: Need) -> dict[str, int]:
-        pool = self.pools[need.service]
-        counts: dict[str, int] = {}
-        ranks: dict[str, int] = {}
-        for name in rendezvous_order(need.key, pool):
-            region = pool[name].spec.region
-            ranks[name] = counts.get(region, 0)
-            counts[region] = ranks[name] + 1
-        return ranks
-
-
-def _expected_ms(
-    upstream: Upstream, work: WorkTimes, warmth: Warmth, now_ms: int
-) -> float:
-    expected_ms = work.expected_ms(warmth) * upstream.slow_factor(now_ms)
-    if upstream.is_cold(now_ms):
-        expected_ms *= COLD_WORK_FACTOR
-    return expected_ms
+        return SAME_REGION_MS if self._is_home(upstream) else OTHER_REGION_MS
 
 
 def _fits(upstream: Upstream, need: Need) -> bool:
@@ -201,8 +236,7 @@
     return not need.home_regions or upstream.spec.region in need.home_regions
 
 
-def _warmth(upstream: Upstream, key: str, ranks: dict[str, int], now_ms: int) -> Warmth:
+def _warmth(upstream: Upstream, key: str, rank: int, now_ms: int) -> Warmth:
     if not key or upstream.is_warm(key, now_ms):
         return Warmth.KNOWN
-    rank = ranks[upstream.name]
     return Warmth(min(Warmth.FIRST_RANK + rank, Warmth.OTHER_RANK))
--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -10,6 +10,11 @@
 BUSY_PART = 0.6
 LATE_WAIT_PART = 0.25
 
+# Part of the time to work out a forgotten object that a request away from
+# the object's first rank is charged with.
+DISPLACED_BY_KNOWN_PART = 0.6
+DISPLACED_BY_NEW_PART = 1.0
+
 WARM_MEMORY_MS = 20_000
 WARM_MEMORY_KEYS = 512
 WORK_WEIGHT = 0.05
--- /dev/null
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/ranks.py
@@ -0,0 +1,46 @@
+"""Rank the upstreams of a service for an object's key, region by region."""
+
+from bilberry_core.ids import rendezvous_order
+
+from .upstream import Upstream
+
+MAX_CACHED_RANKS = 4_096
+
+
+class KeyRanks:
+    """Own the ranks worked out so far; all nodes get the same ones.
+
+    Rank 0 is the upstream that should handle the object in its region.
+    """
+
+    __slots__ = ("cached", "pools")
+
+    def __init__(self, pools: dict[str, dict[str, Upstream]]) -> None:
+        self.pools = pools
+        self.cached: dict[tuple[str, str], dict[str, int]] = {}
+
+    def of(self, service: str, key: str) -> dict[str, int]:
+        """Return each upstream's rank, none without a key."""
+        if not key:
+            return {}
+        found = self.cached.get((service, key))
+        if found is None:
+            if len(self.cached) >= MAX_CACHED_RANKS:
+                self.cached.clear()
+            found = self._new(service, key)
+            self.cached[service, key] = found
+        return found
+
+    def forget(self) -> None:
+        """Drop all ranks; call when a pool changes."""
+        self.cached.clear()
+
+    def _new(self, service: str, key: str) -> dict[str, int]:
+        pool = self.pools[service]
+        counts: dict[str, int] = {}
+        ranks: dict[str, int] = {}
+        for name in rendezvous_order(key, pool):
+            region = pool[name].spec.region
+            ranks[name] = counts.get(region, 0)
+            counts[region] = ranks[name] + 1
+        return ranks
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -82,6 +82,10 @@
             return self.in_flight + self.others_load
         return self.in_flight + peers_load
 
+    def report_age_ms(self, now_ms: int) -> int:
+        """Return how old its newest report of its load is, -1 without one."""
+        return now_ms - self.reported_at_ms if self.reported_at_ms >= 0 else -1
+
     def on_report(self, running: int, waiting: int, now_ms: int) -> None:
         """Take a report of its load; this node's requests are not done."""
         self.others_load = max(0, running + waiting - self.in_flight)
--- /dev/null
+++ b/packages/bilberry_core/src/bilberry_core/histogram.py
@@ -0,0 +1,51 @@
+"""Count durations by size, at the cost of one search."""
+
+from bisect import bisect_left
+
+LATENCY_BOUNDS_MS = (
+    5,
+    10,
+    25,
+    50,
+    100,
+    200,
+    300,
+    400,
+    600,
+    800,
+    1_000,
+    1_500,
+    2_500,
+    5_000,
+    10_000,
+)
+
+
+class Histogram:
+    """Own the counts of observed values; the last count has no bound."""
+
+    __slots__ = ("bounds", "counts", "total")
+
+    def __init__(self, bounds: tuple[int, ...] = LATENCY_BOUNDS_MS) -> None:
+        self.bounds = bounds
+        self.counts = [0] * (len(bounds) + 1)
+        self.total = 0.0
+
+    def observe(self, value: float) -> None:
+        """Count one value."""
+        self.counts[bisect_left(self.bounds, value)] += 1
+        self.total += value
+
+    @property
+    def observations(self) -> int:
+        """Return how many values were counted."""
+        return sum(self.counts)
+
+    def cumulative(self) -> list[int]:
+        """Return, for each bound and for none, the values not above it."""
+        reached = 0
+        sums = []
+        for count in self.counts:
+            reached += count
+            sums.append(reached)
+        return sums
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -1,11 +1,13 @@
 """Follow all objects of one kind in the platform's store."""
 
 import logging
+from collections import Counter
 from typing import Protocol
 
 import gevent
 from gevent import Greenlet
 
+from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.outcome import Failure
 from bilberry_store.backoff import Backoff
@@ -17,6 +19,9 @@
 _LOGGER = logging.getLogger(__name__)
 
 
+CALL_ANSWERED = "answered"
+
+
 class FeedListener(Protocol):
     """Take what a feed brings."""
 
@@ -36,11 +41,28 @@
 class Feed:
     """List a kind, then watch it; list again after a gap."""
 
-    __slots__ = ("backoff", "kind", "listener", "source", "task")
+    __slots__ = (
+        "answered_at_ms",
+        "backoff",
+        "calls",
+        "clock",
+        "kind",
+        "listener",
+        "source",
+        "task",
+    )
 
     def __init__(
-        self, kind: str, source: ObjectSource, listener: FeedListener, seed: int
+        self,
+        kind: str,
+        source: ObjectSource,
+        listener: FeedListener,
+        clock: Clock,
+        seed: int,
     ) -> None:
+        self.clock = clock
+        self.answered_at_ms: int | None = None
+        self.calls: Counter[str] = Counter()
         self.kind = kind
         self.source = source
         self.listener = listener
@@ -76,6 +98,7 @@
             if isinstance(watched, Failure):
                 error = watched.failure()
                 if error.kind is StoreErrorKind.GONE:
+                    self.calls[error.kind] += 1
                     _LOGGER.info("discovery: History of %s is gone.", self.kind)
                     return
                 self.pause(error)
@@ -93,11 +116,14 @@
             _LOGGER.warning(
                 "discovery: Lost %s: %s, %s.", self.kind, error.kind, error.reason
             )
+        self.calls[error.kind] += 1
         self.listener.on_outage()
         gevent.sleep(self.backoff.next_ms() / MS_PER_SECOND)
 
     def recover(self) -> None:
         """Note an answered call."""
+        self.answered_at_ms = self.clock.now_ms()
+        self.calls[CALL_ANSWERED] += 1
         if self.backoff.failures:
             _LOGGER.info(
                 "discovery: Reads %s again after %s failures.",
--- a/packages/bilberry_router/src/bilberry_router/admin/health.py
+++ b/packages/bilberry_router/src/bilberry_router/admin/health.py
@@ -3,17 +3,15 @@
 from collections.abc import Callable
 
 import msgspec
-from aioprometheus import Gauge, Registry, render
 
 from bilberry_fleet.task import FleetTask
 
 from ..http.messages import Response
+from ..metric_set import MetricSet
 from ..state import NodeState
 from .overview import Overview
 
-ACCEPT_TEXT = ["text/plain"]
-
-MetricSource = Callable[["MetricSet"], None]
+MetricSource = Callable[[MetricSet], None]
 
 
 class Live(msgspec.Struct):
@@ -33,29 +31,6 @@
     leaving: bool
 
 
-class MetricSet:
-    """Own the metrics of one node."""
-
-    __slots__ = ("gauges", "registry")
-
-    def __init__(self) -> None:
-        self.registry = Registry()
-        self.gauges: dict[str, Gauge] = {}
-
-    def set(self, name: str, doc: str, value: float, **labels: str) -> None:
-        """Set one metric, made at its first use."""
-        gauge = self.gauges.get(name)
-        if gauge is None:
-            gauge = Gauge(name, doc, registry=self.registry)
-            self.gauges[name] = gauge
-        gauge.set(labels, value)
-
-    def render(self) -> Response:
-        """Return all metrics as Prometheus text."""
-        content, headers = render(self.registry, ACCEPT_TEXT)
-        return Response(200, content, [(str(k), str(v)) for k, v in headers.items()])
-
-
 class HealthReporter:
     """Answer what the admin address tells of the node itself."""
 
@@ -100,4 +75,5 @@
         """Return all metrics."""
         for source in self.sources:
             source(self.metric_set)
-        return self.metric_set.render()
+        text = self.metric_set.render()
+        return Response(200, text.content, text.headers)
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -50,12 +50,6 @@
         elif point is FailurePoint.SHED_NOT_RUN:
             self._note_shed(upstream, outcome, has_room, now_ms)
         elif point in FAILED:
-            _LOGGER.info(
-                "entry: Upstream %s failed: %s %s.",
-                upstream.name,
-                point,
-                outcome.reason,
-            )
             upstream.on_failure(now_ms)
         elif point is FailurePoint.DEADLINE_AFTER_SEND:
             ratio = (now_ms - sent_at_ms) / max(choice.expected_ms, 1.0)
--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -15,6 +15,9 @@
 MAX_ANSWER_BYTES = 16_000_000
 MAX_FORWARDED_TIMEOUT_MS = 600_000
 
+# Of the requests answered in time, one of so many leaves a log line.
+PROMPT_ANSWERS_A_SAMPLE = 200
+
 QUEUE_TICK_MS = 20
 QUEUE_MISSES = 30
 EXPIRE_TICK_MS = 200
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/counts.py
@@ -0,0 +1,124 @@
+"""Count what becomes of requests and attempts; all label sets are bounded."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from enum import StrEnum, auto
+from http import HTTPStatus
+
+from bilberry_balance.placement.chooser import Place
+from bilberry_balance.placement.upstream import Upstream
+from bilberry_balance.placement.work_times import Warmth
+from bilberry_core.histogram import Histogram
+
+from .messages import EntryAnswer
+
+NO_SERVICE = ""
+END_ANSWERED = "answered"
+END_UPSTREAM_FAILED = "upstream_failed"
+
+
+class AnswerKind(StrEnum):
+    """Say what a caller was told, and by whom."""
+
+    ANSWERED = auto()
+    UPSTREAM_FAILED = auto()
+    NOT_RUN = auto()
+    UNKNOWN = auto()
+    REJECTED = auto()
+
+
+class Distance(StrEnum):
+    """Say how far an upstream is from the node."""
+
+    SAME_DOMAIN = auto()
+    SAME_REGION = auto()
+    OTHER_REGION = auto()
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerLabels:
+    """Label the answers to callers."""
+
+    service: str
+    kind: AnswerKind
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptLabels:
+    """Label attempts by the point at which they ended."""
+
+    service: str
+    end: str
+
+
+@dataclass(slots=True, frozen=True)
+class PlacementLabels:
+    """Label the choices of upstreams."""
+
+    service: str
+    warmth: Warmth
+    distance: Distance
+
+
+@dataclass(slots=True)
+class ServiceTimes:
+    """Hold a service's times in ms: whole requests, attempts and queueing."""
+
+    requests: Histogram = field(default_factory=Histogram)
+    attempts: Histogram = field(default_factory=Histogram)
+    queueing: Histogram = field(default_factory=Histogram)
+
+
+@dataclass(slots=True)
+class EntryCounts:
+    """Own the counts of one node since its start."""
+
+    answers: Counter[AnswerLabels] = field(default_factory=Counter)
+    attempts: Counter[AttemptLabels] = field(default_factory=Counter)
+    placements: Counter[PlacementLabels] = field(default_factory=Counter)
+    times: dict[str, ServiceTimes] = field(default_factory=dict)
+
+    def of(self, service: str) -> ServiceTimes:
+        """Return the times of a service."""
+        found = self.times.get(service)
+        if found is None:
+            found = ServiceTimes()
+            self.times[service] = found
+        return found
+
+    def note_answer(self, service: str, answer: EntryAnswer, took_ms: int) -> None:
+        """Count the final answer to a request."""
+        self.answers[AnswerLabels(service, kind_of(answer))] += 1
+        self.of(service).requests.observe(took_ms)
+
+    def note_attempt(self, service: str, end: str, took_ms: int) -> None:
+        """Count an attempt that has ended."""
+        self.attempts[AttemptLabels(service, end)] += 1
+        self.of(service).attempts.observe(took_ms)
+
+    def note_placement(self, upstream: Upstream, warmth: Warmth, place: Place) -> None:
+        """Count a choice of an upstream."""
+        distance = distance_of(upstream, place)
+        labels = PlacementLabels(upstream.spec.service, warmth, distance)
+        self.placements[labels] += 1
+
+
+def kind_of(answer: EntryAnswer) -> AnswerKind:
+    """Return what an answer tells its caller."""
+    if not answer.detail:
+        failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        return AnswerKind.UPSTREAM_FAILED if failed else AnswerKind.ANSWERED
+    if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        return AnswerKind.NOT_RUN
+    if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+        return AnswerKind.UNKNOWN
+    return AnswerKind.REJECTED
+
+
+def distance_of(upstream: Upstream, place: Place) -> Distance:
+    """Return how far an upstream is from `place`."""
+    if upstream.spec.failure_domain == place.failure_domain:
+        return Distance.SAME_DOMAIN
+    if upstream.spec.region == place.region:
+        return Distance.SAME_REGION
+    return Distance.OTHER_REGION
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -0,0 +1,198 @@
+"""Tell operators in metrics what an entry node does and believes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+
+from bilberry_core.registry import Registry
+
+from ..http.head import RequestHead
+from .counts import ServiceTimes
+from .messages import EntryAnswer, EntryRequest, own_answer
+
+if TYPE_CHECKING:
+    from ..metric_set import MetricSet
+    from .node import EntryNode
+
+METRICS_PATH = "/metrics"
+
+MetricSource = Callable[["EntryNode", "MetricSet"], None]
+
+METRIC_SOURCES: Registry[str, MetricSource] = Registry()
+
+
+class MetricsHandler:
+    """Answer with the node's metrics as Prometheus text.
+
+    The library that renders them is loaded at the first query: it takes
+    several MB.
+    """
+
+    __slots__ = ("node",)
+
+    def __init__(self, node: EntryNode) -> None:
+        self.node = node
+
+    def may_overlap(self, head: RequestHead) -> bool:
+        """Tell that queries don't wait for one another."""
+        return True
+
+    def handle(self, request: EntryRequest) -> EntryAnswer:
+        """Answer a query."""
+        if request.head.path != METRICS_PATH:
+            return own_answer(HTTPStatus.NOT_FOUND, "no such page")
+        from ..metric_set import MetricSet
+
+        metrics = MetricSet()
+        for source in METRIC_SOURCES.values():
+            source(self.node, metrics)
+        text = metrics.render()
+        return EntryAnswer(HTTPStatus.OK, text.headers, text.content)
+
+
+@METRIC_SOURCES.register("requests")
+def fill_requests(node: EntryNode, metrics: MetricSet) -> None:
+    """Fill in what became of requests, attempts and placements."""
+    counts = node.state.counts
+    for answer, number in counts.answers.items():
+        metrics.count(
+            "bilberry_entry_answers_total",
+            "Final answers to callers, by what they told.",
+            number,
+            service=answer.service,
+            kind=answer.kind,
+        )
+    for attempt, number in counts.attempts.items():
+        metrics.count(
+            "bilberry_entry_attempts_total",
+            "Attempts at upstreams, by the point at which they ended.",
+            number,
+            service=attempt.service,
+            end=attempt.end,
+        )
+    for placement, number in counts.placements.items():
+        metrics.count(
+            "bilberry_entry_placements_total",
+            "Upstreams chosen, by what they know of the object and distance.",
+            number,
+            service=placement.service,
+            warmth=placement.warmth.name.lower(),
+            distance=placement.distance,
+        )
+    for service, times in counts.times.items():
+        fill_times(metrics, service, times)
+
+
+def fill_times(metrics: MetricSet, service: str, times: ServiceTimes) -> None:
+    """Fill in the latency histograms of one service."""
+    metrics.observe(
+        "bilberry_entry_request_duration_ms",
+        "Time from a whole request to its final answer.",
+        times.requests,
+        service=service,
+    )
+    metrics.observe(
+        "bilberry_entry_attempt_duration_ms",
+        "Time of one attempt at an upstream.",
+        times.attempts,
+        service=service,
+    )
+    metrics.observe(
+        "bilberry_entry_queue_duration_ms",
+        "Time that queued requests waited for room, refused ones included.",
+        times.queueing,
+        service=service,
+    )
+
+
+@METRIC_SOURCES.register("room")
+def fill_room(node: EntryNode, metrics: MetricSet) -> None:
+    """Fill in slots, load and queues by service, and regions' shares."""
+    state = node.state
+    now_ms = state.clock.now_ms()
+    for service in state.upstreams.pools:
+        metrics.set(
+            "bilberry_entry_slots",
+            "Slots of the service's upstreams that are known.",
+            state.service_slots(service),
+            service=service,
+        )
+        metrics.set(
+            "bilberry_entry_load",
+            "Requests at the service's upstreams, of all nodes as known here.",
+            state.service_load(service, now_ms),
+            service=service,
+        )
+        metrics.set(
+            "bilberry_entry_queued",
+            "Requests that wait here for room at the service.",
+            node.placer.queued(service),
+            service=service,
+        )
+    for region, share in state.guard.shares.items():
+        metrics.set(
+            "bilberry_entry_region_share",
+            "Part of this node's requests that goes to the region.",
+            share,
+            region=region,
+        )
+
+
+@METRIC_SOURCES.register("beliefs")
+def fill_beliefs(node: EntryNode, metrics: MetricSet) -> None:
+    """Fill in what this node has learnt, how old it is and from where."""
+    state = node.state
+    now_ms = state.clock.now_ms()
+    config = state.routes.config
+    metrics.set(
+        "bilberry_config_version",
+        "Version of the installed configuration.",
+        config.version if config else 0,
+    )
+    for feed in node.feeds:
+        if feed.answered_at_ms is not None:
+            metrics.set(
+                "bilberry_feed_age_ms",
+                "Time since the store last told of a kind of objects.",
+                now_ms - feed.answered_at_ms,
+                kind=feed.kind,
+            )
+        for result, number in feed.calls.items():
+            metrics.count(
+                "bilberry_store_calls_total",
+                "Calls of the store, by kind of objects and result.",
+                number,
+                kind=feed.kind,
+                result=result,
+            )
+
+
+@METRIC_SOURCES.register("peers")
+def fill_peers(node: EntryNode, metrics: MetricSet) -> None:
+    """Fill in what this node knows of the other nodes."""
+    peers = node.membership.peers
+    now_ms = node.state.clock.now_ms()
+    metrics.set("bilberry_peers_known", "Other nodes known.", len(peers.peers))
+    alive = peers.alive(now_ms)
+    metrics.set("bilberry_peers_alive", "Other nodes heard of in time.", len(alive))
+    for peer in peers.peers.values():
+        if peer.heard_at_ms is not None:
+            metrics.set(
+                "bilberry_peer_age_ms",
+                "Time since the last heartbeat of a node.",
+                now_ms - peer.heard_at_ms,
+                node=peer.info.name,
+            )
+
+
+@METRIC_SOURCES.register("process")
+def fill_process(node: EntryNode, metrics: MetricSet) -> None:
+    """Fill in how this process is."""
+    metrics.set(
+        "bilberry_ready", "1 while this node takes callers.", int(node.is_ready())
+    )
+    metrics.set(
+        "bilberry_connections", "Connections of callers.", len(node.entry.callers)
+    )
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -16,11 +16,13 @@
 from bilberry_fleet.discovery.upstreams import UpstreamFeed
 from bilberry_resources.routing import CallerLimits, RoutingConfig
 
+from .caller import Handler
 from .const import DRAIN_MARGIN_MS, DRAIN_SERVE_MS, DRAIN_SERVE_PART, EXPIRE_TICK_MS
 from .forwarder import Forwarder
 from .links import Links
 from .listener import Listener
 from .membership import Membership
+from .metrics import MetricsHandler
 from .placing import Placer
 from .platform import Platform
 from .services import DirectoryHandler, ReadyHandler
@@ -31,12 +33,16 @@
 
 @dataclass(slots=True, frozen=True)
 class NodeAddresses:
-    """Hold the `ip:port` of each listener; `peer` is for UDP."""
+    """Hold the `ip:port` of each listener; `peer` is for UDP.
+
+    Without `metrics` none are served.
+    """
 
     entry: str
     readiness: str
     directory: str
     peer: str
+    metrics: str = ""
 
 
 class EntryNode:
@@ -89,7 +95,7 @@
             self.state.upstreams,
             platform.decode_upstream,
             clock,
-            self.state.chooser.forget_ranks,
+            self.state.chooser.ranks.forget,
         )
         self.feeds = self._feeds(stable_hash(name))
         self.entry = Listener(
@@ -182,14 +188,20 @@
             (kinds.nodes, self.membership),
         ]
         return [
-            Feed(kind, self.platform.source, listener, seed + index)
+            Feed(kind, self.platform.source, listener, self.clock, seed + index)
             for index, (kind, listener) in enumerate(listeners)
         ]
 
     def _service_listeners(self, addresses: NodeAddresses) -> list[Listener]:
         ready = ReadyHandler(self.platform.ready_path, self.is_ready)
         directory = DirectoryHandler(self.platform, self.membership.points)
+        handlers: list[tuple[str, Handler]] = [
+            (addresses.readiness, ready),
+            (addresses.directory, directory),
+            (addresses.metrics, MetricsHandler(self)),
+        ]
         return [
-            Listener(addresses.readiness, ready, CallerLimits, self.clock),
-            Listener(addresses.directory, directory, CallerLimits, self.clock),
+            Listener(address, handler, CallerLimits, self.clock)
+            for address, handler in handlers
+            if address
         ]
--- a/packages/bilberry_router/src/bilberry_router/entry/placing.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placing.py
@@ -10,12 +10,14 @@
 from bilberry_balance.placement.admission import Refusal, StartRate, admit
 from bilberry_balance.placement.chooser import Choice, Need, NoChoice
 from bilberry_balance.placement.const import LATE_WAIT_PART
+from bilberry_balance.placement.costs import Waited
 from bilberry_balance.placement.queue import Waiting, WaitQueue
 from bilberry_balance.placement.upstream import Upstream
 from bilberry_balance.placement.work_times import Warmth
 from bilberry_core.const import MS_PER_SECOND
 
 from .const import QUEUE_MISSES, QUEUE_TICK_MS
+from .events import RoomView
 from .state import EntryState
 
 DEFAULT_RETRY_AFTER_MS = 500
@@ -25,13 +27,15 @@
 class PlaceRequest:
     """Ask for room; times in monotonic ms.
 
-    `target_ms` is the latency objective, `target_at_ms` when it ends, and
-    `ends_at_ms` when the caller gets its final answer.
+    `target_ms` is the latency objective, `asked_at_ms` when room was asked
+    for, `target_at_ms` when the objective ends, and `ends_at_ms` when the
+    caller gets its final answer.
     """
 
     need: Need
     priority: int
     target_ms: int
+    asked_at_ms: int
     target_at_ms: int
     ends_at_ms: int
     granted: AsyncResult = field(default_factory=AsyncResult)
@@ -97,7 +101,7 @@
         held = self.queues.setdefault(request.need.service, ServiceQueue())
         now_ms = self.state.clock.now_ms()
         if not held.queue.ahead_of(request.priority):
-            choice = self.try_place(request.need)
+            choice = self.try_place(request, now_ms)
             if isinstance(choice, Choice):
                 held.rate.note(now_ms)
                 return choice
@@ -123,12 +127,15 @@
         entry = Waiting(request, request.priority, in_time_ms, give_up_ms)
         held.queue.push(entry)
         watch(lambda: request.granted.set(None))
+        self.pump(request.need.service)
         wait_s = max(0, give_up_ms - now_ms) / MS_PER_SECOND
         try:
             choice = request.granted.get(timeout=wait_s)
         except gevent.Timeout:
             choice = None
         held.queue.discard(entry)
+        waited_ms = self.state.clock.now_ms() - now_ms
+        self.state.counts.of(request.need.service).queueing.observe(waited_ms)
         if choice is None:
             return Refusal(max(DEFAULT_RETRY_AFTER_MS, expected_ms))
         return choice
@@ -141,7 +148,7 @@
         now_ms = self.state.clock.now_ms()
 
         def accept(request: PlaceRequest) -> bool:
-            choice = self.try_place(request.need)
+            choice = self.try_place(request, now_ms)
             if not isinstance(choice, Choice):
                 return False
             held.rate.note(now_ms)
@@ -150,18 +157,51 @@
 
         held.queue.take(accept, now_ms, QUEUE_MISSES)
 
-    def try_place(self, need: Need) -> Choice | NoChoice:
+    def try_place(self, request: PlaceRequest, now_ms: int) -> Choice | NoChoice:
         """Choose an upstream now and take its room."""
         state = self.state
-        now_ms = state.clock.now_ms()
+        need = request.need
+        waited = self.waited(request, now_ms)
         state.begin_shares(now_ms)
         choice = state.chooser.choose(
-            need, state.upstreams.takes_work, state.guard.pick, now_ms
+            need,
+            state.upstreams.takes_work,
+            state.guard.pick,
+            now_ms,
+            waited,
         )
         if isinstance(choice, Choice):
             self.take(choice.upstream, need, now_ms)
+            state.counts.note_placement(choice.upstream, choice.warmth, state.place)
         return choice
 
+    def waited(self, request: PlaceRequest, now_ms: int) -> Waited:
+        """Return how a request has waited so far."""
+        need = request.need
+        known_ms = need.work.expected_ms(Warmth.KNOWN)
+        is_late = now_ms + known_ms > request.target_at_ms
+        waited_ms = now_ms - request.asked_at_ms
+        return Waited(self.queued(need.service), waited_ms, is_late)
+
+    def queued(self, service: str) -> int:
+        """Return how many requests wait here for room at a service."""
+        held = self.queues.get(service)
+        return len(held.queue.waiting) if held else 0
+
+    def room(self, request: PlaceRequest) -> RoomView:
+        """Return why a service's upstreams have no room for a request."""
+        state = self.state
+        now_ms = state.clock.now_ms()
+        need = request.need
+        survey = state.chooser.survey(need, state.upstreams.takes_work, now_ms)
+        return RoomView(
+            survey.known,
+            survey.closed,
+            survey.held_back,
+            survey.full,
+            self.queued(need.service),
+        )
+
     def take(self, upstream: Upstream, need: Need, now_ms: int) -> None:
         """Count a request at its upstream."""
         state = self.state
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -17,6 +17,7 @@
 from bilberry_steering.shift_guard import ShiftGuard
 
 from .const import RETRY_PART
+from .counts import EntryCounts
 
 
 @dataclass(slots=True, frozen=True)
@@ -51,6 +52,7 @@
     crashes: CrashWatch = field(init=False)
     work: dict[str, WorkTimes] = field(default_factory=dict)
     retries: dict[str, RetryBudget] = field(default_factory=dict)
+    counts: EntryCounts = field(default_factory=EntryCounts)
     known_nodes: int = 1
 
     def __post_init__(self) -> None:
--- a/packages/bilberry_router/src/bilberry_router/log_lines.py
+++ b/packages/bilberry_router/src/bilberry_router/log_lines.py
@@ -10,23 +10,13 @@
 from gevent.os import make_nonblocking, nb_write
 
 from bilberry_core.const import MS_PER_SECOND
+from bilberry_core.log_line import NO_DATA, NO_ID, LogLine
 from bilberry_store.budget import CallBudget
 
 MAX_WAITING_LINES = 1_000
 MAX_LINES_PER_S = 100
 LINE_BURST = 200
 REPORT_MS = 1_000
-NO_ID = ""
-
-
-class LogLine(msgspec.Struct, omit_defaults=True):
-    """Hold one line of a structured log; `request_id` where it has one."""
-
-    time: str
-    level: str
-    logger: str
-    message: str
-    request_id: str = NO_ID
 
 
 class JsonFormatter(logging.Formatter):
@@ -37,12 +27,14 @@
         message = record.getMessage()
         if record.exc_info:
             message = f"{message}\n{self.formatException(record.exc_info)}"
+        event = getattr(record, "data", None)
         line = LogLine(
             time=self.formatTime(record),
             level=record.levelname,
             logger=record.name,
             message=message,
             request_id=getattr(record, "request_id", NO_ID),
+            data=msgspec.Raw(msgspec.json.encode(event)) if event else NO_DATA,
         )
         return msgspec.json.encode(line).decode()
 
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/metric_set.py
@@ -0,0 +1,63 @@
+"""Render metrics as Prometheus text."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from aioprometheus import Counter, Gauge, Registry, render
+from aioprometheus import Histogram as HistogramCollector
+from aioprometheus.collectors import Collector
+from aioprometheus.histogram import Histogram as HistogramValue
+
+from bilberry_core.histogram import Histogram
+
+from .http.messages import Headers
+
+ACCEPT_TEXT = ["text/plain"]
+NO_BOUND = float("inf")
+
+
+@dataclass(slots=True, frozen=True)
+class MetricText:
+    """Hold rendered metrics and the headers that describe them."""
+
+    content: bytes
+    headers: Headers
+
+
+class MetricSet:
+    """Own the metrics of one node, each made at its first use."""
+
+    __slots__ = ("collectors", "registry")
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.collectors: dict[str, Collector] = {}
+
+    def set(self, name: str, doc: str, value: float, **labels: str) -> None:
+        """Set a value that may rise and fall."""
+        self._collector(Gauge, name, doc).set_value(labels, value)
+
+    def count(self, name: str, doc: str, value: float, **labels: str) -> None:
+        """Set a count that only rises while the process runs."""
+        self._collector(Counter, name, doc).set_value(labels, value)
+
+    def observe(self, name: str, doc: str, values: Histogram, **labels: str) -> None:
+        """Set the counts of a histogram."""
+        held = HistogramValue(*values.bounds)
+        held.observations = values.observations
+        held.sum = values.total
+        bounds = [*(float(bound) for bound in values.bounds), NO_BOUND]
+        held.buckets.update(zip(bounds, values.cumulative(), strict=True))
+        self._collector(HistogramCollector, name, doc).set_value(labels, held)
+
+    def render(self) -> MetricText:
+        """Return all metrics as Prometheus text."""
+        content, headers = render(self.registry, ACCEPT_TEXT)
+        return MetricText(content, [(str(k), str(v)) for k, v in headers.items()])
+
+    def _collector(self, kind: Any, name: str, doc: str) -> Any:
+        found = self.collectors.get(name)
+        if found is None:
+            found = kind(name, doc, registry=self.registry)
+            self.collectors[name] = found
+        return found
--- /dev/null
+++ b/tests/bilberry_balance/placement/test_memory_load.py
@@ -0,0 +1,115 @@
+"""Upstreams that remember few objects keep to their own under load.
+
+The load: a region whose two upstreams together remember all of its objects,
+but neither of them all; the callers ask for each object about equally often.
+Work on a forgotten object takes over three times as long, and misses the
+objective.
+"""
+
+import heapq
+import random
+from collections import OrderedDict
+
+from bilberry_balance.placement.chooser import Choice
+from bilberry_balance.placement.costs import Waited
+from bilberry_balance.placement.work_times import WorkTimes
+
+from .common import Fleet, need, spec
+
+OBJECTS = 36
+REMEMBERED = 24
+SLOTS = 9
+KNOWN_MS = 270
+FORGOTTEN_MS = 900
+OBJECTIVE_MS = 600
+FIRST_MS = 6_000
+END_MS = 30_000
+
+
+class Memory:
+    """Remember the objects handled last, as an upstream does."""
+
+    def __init__(self):
+        self.keys = OrderedDict()
+
+    def handle(self, key):
+        known = key in self.keys
+        self.keys[key] = True
+        self.keys.move_to_end(key)
+        if len(self.keys) > REMEMBERED:
+            self.keys.popitem(last=False)
+        return KNOWN_MS if known else FORGOTTEN_MS
+
+
+class Region:
+    """Play requests on a manual clock; keep how each ended."""
+
+    def __init__(self, *specs, per_s, seed):
+        self.fleet = Fleet(*specs)
+        self.memories = {item.name: Memory() for item in specs}
+        self.work = WorkTimes.starting(OBJECTIVE_MS)
+        self.per_s = per_s
+        self.rng = random.Random(seed)
+        self.running = []
+        self.waiting = []
+        self.took = []
+
+    def play(self):
+        for now_ms in range(0, END_MS, 5):
+            while self.running and self.running[0][0] <= now_ms:
+                self.finish(now_ms, *heapq.heappop(self.running)[2:])
+            if self.rng.random() < self.per_s * 5 / 1_000:
+                key = f"k{self.rng.randrange(OBJECTS)}"
+                self.waiting.append((key, now_ms))
+            self.waiting = [w for w in self.waiting if not self.send(*w, now_ms)]
+        return self
+
+    def send(self, key, asked_ms, now_ms):
+        waited = Waited(len(self.waiting), now_ms - asked_ms)
+        a_need = need(key, work=self.work)
+        choice = self.fleet.choose(a_need, now_ms, waited=waited)
+        if not isinstance(choice, Choice):
+            return False
+        upstream = choice.upstream
+        upstream.in_flight += 1
+        upstream.note_key(key, now_ms)
+        work_ms = self.memories[upstream.name].handle(key)
+        end_ms = now_ms + work_ms
+        order = len(self.took) + len(self.running) + now_ms * 100
+        entry = (end_ms, order, choice, work_ms, asked_ms)
+        heapq.heappush(self.running, entry)
+        return True
+
+    def finish(self, now_ms, choice, work_ms, asked_ms):
+        choice.upstream.in_flight -= 1
+        choice.upstream.on_work(self.work.observe(choice.warmth, work_ms), now_ms)
+        self.took.append((asked_ms, now_ms - asked_ms, work_ms))
+
+    def later(self):
+        """Return the requests asked after all objects came up."""
+        return [t for t in self.took if t[0] >= FIRST_MS]
+
+    def forgotten_share(self):
+        later = self.later()
+        return sum(work_ms == FORGOTTEN_MS for _, _, work_ms in later) / len(later)
+
+    def in_time_share(self):
+        later = self.later()
+        return sum(took_ms <= OBJECTIVE_MS for _, took_ms, _ in later) / len(later)
+
+
+def two(seed, per_s):
+    specs = [spec(f"u{seed}-{i}", slots=SLOTS) for i in range(2)]
+    return Region(*specs, per_s=per_s, seed=seed).play()
+
+
+def test_a_half_loaded_region_forgets_nothing():
+    regions = [two(seed, per_s=33) for seed in range(5)]
+    assert all(region.forgotten_share() <= 0.02 for region in regions)
+    assert all(region.in_time_share() >= 0.97 for region in regions)
+
+
+def test_a_region_near_its_limit_answers_nine_of_ten_in_time():
+    regions = [two(seed, per_s=50) for seed in range(5)]
+    mean = sum(region.in_time_share() for region in regions) / len(regions)
+    assert mean >= 0.9
