Add bilberryctl explain: a request's history from many nodes' logs

It joins the lines that name the request, what nodes saw of its upstreams around that time, and gaps where lines were dropped.

--- a/packages/bilberry_ctl/src/bilberry_ctl/cli.py
+++ b/packages/bilberry_ctl/src/bilberry_ctl/cli.py
@@ -12,6 +12,7 @@
 from .api import ApiClient, check_server
 from .commands.apply import Apply, Diff
 from .commands.drain import Drain, Undrain
+from .commands.explain import Explain
 from .commands.objects import Delete, Describe, Get
 from .commands.reports import Audit, Lookup, Status
 from .commands.watching import Wait, Watch
@@ -60,6 +61,7 @@
         | Audit
         | Lookup
         | Status
+        | Explain
     ]
     server: Annotated[
         str,
--- /dev/null
+++ b/packages/bilberry_ctl/src/bilberry_ctl/commands/explain.py
@@ -0,0 +1,73 @@
+"""Explain what became of a request, from the nodes' logs."""
+
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+
+from bilberry_core.outcome import Failure, Result, Success
+
+from ..context import Context
+from ..errors import CommandError, failed, usage_error
+from ..files import STDIN
+from ..history import Entry, find_history
+
+NOT_NAMED = (
+    "no line names request {}: it was answered in time, was never read, "
+    "or its lines were dropped"
+)
+COLUMNS = ["TIME", "NODE", "LEVEL", "MESSAGE"]
+
+
+@cappa.command(
+    description="Example: `bilberryctl explain --request 1028c6742cb8bb19 node-*.log`"
+)
+@dataclass
+class Explain:
+    """Show a request's history from the logs of any number of nodes."""
+
+    request: Annotated[str, cappa.Arg(long=True, help="The request's id.")]
+    files: Annotated[list[str], cappa.Arg(num_args=-1, help="Log files; - is stdin.")]
+
+    def run(self, context: Context) -> Result[None, CommandError]:
+        """Print the lines in the order of their times."""
+        if not self.files:
+            return Failure(usage_error("explain: name at least one log file"))
+        try:
+            history = find_history(self.request, read_logs(self.files))
+        except OSError as error:
+            return Failure(usage_error(f"explain: {error}"))
+        if not history.own:
+            return Failure(failed(NOT_NAMED.format(self.request)))
+        printer = context.printer
+        if printer.for_scripts:
+            printer.json([entry.line for entry in history.own])
+            return Success(None)
+        printer.table(COLUMNS, [row(entry) for entry in history.own])
+        if history.context:
+            printer.title("What nodes saw of its upstreams then")
+            printer.table(COLUMNS, [row(entry) for entry in history.context])
+        for entry in history.dropped:
+            printer.line(f"gap at {entry.source}: {entry.line.message}")
+        if history.unreadable:
+            printer.line(f"{history.unreadable} lines could not be read")
+        return Success(None)
+
+
+def row(entry: Entry) -> list[str]:
+    """Return a log line as a row of a table."""
+    line = entry.line
+    return [line.time, entry.source, line.level, line.message]
+
+
+def read_logs(names: list[str]) -> Iterator[tuple[str, Iterable[str]]]:
+    """Yield each log's name and its lines."""
+    for name in names:
+        if name == STDIN:
+            yield "stdin", sys.stdin
+            continue
+        with Path(name).open(errors="replace") as lines:
+            yield Path(name).stem, lines
