--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -18,9 +18,8 @@
     HTTP_REQUEST_BYTES,
     Driven,
     Driver,
-    make_member,
-    vm_item,
 )
+from .distribution_members import make_member, vm_item
 from .report import Options, Report
 
 TARGET_IN_FORCE_MS = 16_000
--- a/bench/distribution_driver.py
+++ b/bench/distribution_driver.py
@@ -3,7 +3,6 @@
 import heapq
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -11,9 +10,9 @@
 from bilberry_core.outcome import Failure
 from bilberry_fleet.const import CONFIG_KINDS, FACT_MEMBER, KIND_PLAN, NAME_CURRENT_PLAN
 from bilberry_fleet.events import ConfigInstalled, PlanInstalled
-from bilberry_fleet.membership import stamp_of
-from bilberry_fleet.messages import Fact, Member, MemberState, PullAnswer, PullRequest
+from bilberry_fleet.messages import Member, PullAnswer, PullRequest
 from bilberry_fleet.node import FleetNode
+from bilberry_fleet.pull_exchange import answer_pull, has_news, make_request
 from bilberry_fleet.pulls import PullTarget
 from bilberry_fleet.reads import ReadOperation, StoreRead
 from bilberry_fleet.settings import FleetSettings
@@ -23,6 +22,9 @@
 from bilberry_testing.platform.messages import PlatformObject
 from bilberry_testing.platform.table import RefusalReason
 
+from .distribution_members import member_fact
+from .distribution_nodes import Driven, Waiting
+
 HTTP_REQUEST_BYTES = 150
 HTTP_ANSWER_BYTES = 112
 LOCAL_MS = 1
@@ -32,46 +34,6 @@
 STORE_REGION = "region-0"
 
 
-@dataclass(slots=True)
-class Waiting:
-    """Hold a pull or watch that waits for news."""
-
-    node: "Driven"
-    until_ms: int
-    request: PullRequest | None = None
-    read: StoreRead | None = None
-    denied: Fact | None = None
-    reply: Callable[[PullAnswer], None] | None = None
-    done: bool = False
-
-
-@dataclass(slots=True)
-class Driven:
-    """Hold one node, its waiting calls and what it was seen to do."""
-
-    node: FleetNode
-    alive: bool = True
-    paused: bool = False
-    bytes_sent: int = 0
-    bytes_received: int = 0
-    pulls: int = 0
-    installed: dict[int, int] = field(default_factory=dict)
-    highest: int = 0
-    reverts: int = 0
-    mark: tuple[int, ...] = ()
-    waiting: list[Waiting] = field(default_factory=list)
-
-    @property
-    def name(self) -> str:
-        """Return the node's name."""
-        return self.node.own.name
-
-    @property
-    def runs(self) -> bool:
-        """Tell whether the node takes part now."""
-        return self.alive and not self.paused
-
-
 class Driver:
     """Own the clock, the messages under way, the nodes and the store."""
 
@@ -191,7 +153,7 @@
 
     def send_pull(self, driven: Driven, target: PullTarget) -> None:
         """Carry a pull to its target."""
-        request = driven.node.make_request(target)
+        request = make_request(driven.node, target)
         size = len(encode(request)) + HTTP_REQUEST_BYTES
         driven.bytes_sent += size
         driven.pulls += 1
@@ -241,7 +203,7 @@
         hold_ms = min(request.hold_ms, self.settings.poll_hold_ms)
         waiting = Waiting(sender, self.now + hold_ms, request, None, denied, reply)
         self.pump(peer)
-        if denied is not None or not hold_ms or peer.node.has_news(request):
+        if denied is not None or not hold_ms or has_news(peer.node, request):
             self.answer(peer, waiting)
             return
         peer.waiting.append(waiting)
@@ -255,7 +217,7 @@
         request, reply = waiting.request, waiting.reply
         if not peer.runs or request is None or reply is None:
             return
-        answer = peer.node.answer(request, waiting.denied, self.now)
+        answer = answer_pull(peer.node, request, waiting.denied, self.now)
         peer.bytes_sent += len(encode(answer)) + HTTP_ANSWER_BYTES
         if self.connected(waiting.node, peer):
             delay = self.delay_ms(peer.node.own, waiting.node.node.own)
@@ -268,7 +230,7 @@
             assert waiting.request is not None
             if waiting.done:
                 continue
-            if peer.node.has_news(waiting.request):
+            if has_news(peer.node, waiting.request):
                 self.answer(peer, waiting)
             else:
                 still.append(waiting)
@@ -404,43 +366,3 @@
     def have(self, version: int) -> bool:
         """Tell whether every live node installed a version."""
         return all(d.node.config.version >= version for d in self.live())
-
-
-def make_member(index: int, regions: int, domains: int, sites: int) -> Member:
-    """Return member number `index`, spread over domains and sites."""
-    domain = index % domains
-    site = domain + domains * ((index // domains) % max(1, sites // domains))
-    address = f"10.{index // 65_536}.{index // 256 % 256}.{index % 256}"
-    return Member(
-        name=f"vm-{index:04}",
-        address=f"{address}:8080",
-        peer_address=f"{address}:7070",
-        admin_address=f"{address}:9090",
-        region=f"region-{domain % regions}",
-        failure_domain=f"domain-{domain:02}",
-        site=f"site-{site:03}",
-        incarnation=1_700_000_000_000 + index,
-    )
-
-
-def member_fact(member: Member) -> Fact:
-    """Return the fact of a member that has joined."""
-    live = msgspec.structs.replace(member, state=MemberState.LIVE)
-    return Fact(
-        key=FACT_MEMBER + member.name,
-        stamp=stamp_of(live, 1),
-        body=msgspec.Raw(encode(live)),
-    )
-
-
-def vm_item(member: Member) -> VmItem:
-    """Return a member as the platform lists it."""
-    return VmItem(
-        name=member.name,
-        address=member.address,
-        peer_address=member.peer_address,
-        admin_address=member.admin_address,
-        region=member.region,
-        failure_domain=member.failure_domain,
-        site=member.site,
-    )
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/announcements.py
@@ -0,0 +1,26 @@
+"""Make the facts by which a node tells all others something."""
+
+import msgspec
+
+from bilberry_resources.codec import encode
+
+from .const import FACT_ENTRY, FACT_PLANNER, MAX_FACT_BYTES
+from .messages import Fact, PlannerPlace, SharedEntry
+
+
+def entry_fact(entry: SharedEntry, wall_ms: int) -> Fact:
+    """Return the fact that carries a small value to every node."""
+    body = msgspec.Raw(encode(entry))
+    assert len(bytes(body)) <= MAX_FACT_BYTES, "a shared entry is small"
+    return Fact(
+        key=f"{FACT_ENTRY}{entry.key}",
+        stamp=(wall_ms, 0),
+        body=body,
+        ttl_ms=entry.ttl_ms,
+    )
+
+
+def planner_fact(node: str, epoch: int) -> Fact:
+    """Return the fact that a node holds the planner's lease."""
+    body = msgspec.Raw(encode(PlannerPlace(name=node, epoch=epoch)))
+    return Fact(key=FACT_PLANNER, stamp=(epoch, 0), body=body)
--- a/packages/bilberry_fleet/src/bilberry_fleet/node.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/node.py
@@ -2,10 +2,10 @@
 
 import msgspec
 
-from bilberry_resources.codec import encode
 from bilberry_resources.model import StoredObject
 from bilberry_store.wire import ObjectList, VmItem, WatchBatch
 
+from .announcements import entry_fact, planner_fact
 from .beats import Beats
 from .const import (
     FACT_BEAT,
@@ -13,7 +13,6 @@
     FACT_MEMBER,
     FACT_PLANNER,
     KIND_PLAN,
-    MAX_FACT_BYTES,
     NAME_CURRENT_PLAN,
 )
 from .distribution import (
@@ -46,11 +45,12 @@
     PullRequest,
     SharedEntry,
 )
-from .pulls import PullSchedule, PullTarget, Slot
-from .readiness import Readiness, choose_basis
+from .pulls import PullSchedule, PullTarget
+from .readiness import Readiness
 from .reads import StoreRead, StoreReads
 from .reports import MergeReports, ReportBox, keep_apart
 from .settings import FleetSettings
+from .store_age import StoreAge
 
 
 class FleetNode:
@@ -74,7 +74,7 @@
         "schedule",
         "seeds",
         "settings",
-        "store_known_ms",
+        "store_age",
         "trim_plan",
         "unreachable_heard",
         "unreachable_told",
@@ -101,7 +101,7 @@
         self.report_box = ReportBox(member.name, member.failure_domain, merge_reports)
         self.cursors: dict[tuple[str, bool], tuple[int, int]] = {}
         self.outbox: dict[str, Fact] = {}
-        self.store_known_ms: int | None = None
+        self.store_age = StoreAge(self.readiness, settings)
         self.unreachable_heard: list[str] = []
         self.unreachable_told: list[str] = []
         self.seeds: list[str] = []
@@ -150,22 +150,13 @@
 
     def share(self, entry: SharedEntry, wall_ms: int, now_ms: int) -> None:
         """Share a small value with every node."""
-        body = msgspec.Raw(encode(entry))
-        assert len(bytes(body)) <= MAX_FACT_BYTES, "a shared entry is small"
-        fact = Fact(
-            key=f"{FACT_ENTRY}{entry.key}",
-            stamp=(wall_ms, 0),
-            body=body,
-            ttl_ms=entry.ttl_ms,
-        )
+        fact = entry_fact(entry, wall_ms)
         if self.facts.put(fact, now_ms):
             self.send(fact)
 
     def announce_planner(self, epoch: int, now_ms: int) -> None:
         """Tell every node that this one holds the planner's lease."""
-        place = PlannerPlace(name=self.own.name, epoch=epoch)
-        body = msgspec.Raw(encode(place))
-        fact = Fact(key=FACT_PLANNER, stamp=(epoch, 0), body=body)
+        fact = planner_fact(self.own.name, epoch)
         if self.facts.put(fact, now_ms):
             self.send(fact)
 
@@ -177,32 +168,6 @@
         place = msgspec.json.decode(fact.body, type=PlannerPlace)
         return self.membership.roster.get(place.name)
 
-    def make_request(self, target: PullTarget) -> PullRequest:
-        """Return the request to send to a target."""
-        place = (target.name, self.is_relay)
-        answerer, cursor = self.cursors.get(place, (0, 0))
-        epoch, version = self.plan.order
-        if self.is_relay:
-            epoch, version = self.plan.served_order
-        report = EMPTY_RAW
-        if target.slot is Slot.RELAY and not self.is_relay:
-            report, self.report = self.report, EMPTY_RAW
-        return PullRequest(
-            sender=self.own.name,
-            incarnation=self.own.incarnation,
-            config_version=self.config.version,
-            fetched_version=self.config.fetched_version,
-            plan_epoch=epoch,
-            plan_version=version,
-            answerer=answerer,
-            cursor=cursor,
-            hold_ms=target.hold_ms,
-            relay=self.is_relay,
-            facts=list(self.outbox.values()),
-            digests={} if answerer else self.facts.digests(),
-            report=report,
-        )
-
     def take_request(self, request: PullRequest, now_ms: int) -> Fact | None:
         """Take what a request tells.
 
@@ -220,53 +185,6 @@
             self.schedule.chased = request.sender
         return denied
 
-    def has_news(self, request: PullRequest) -> bool:
-        """Tell whether a waiting pull should be answered now."""
-        known = max(request.config_version, request.fetched_version)
-        if self.config.version > known:
-            return True
-        if self.plan.served_order > (request.plan_epoch, request.plan_version):
-            return True
-        if request.answerer != self.own.incarnation:
-            return True
-        return self.facts.has_news(request.cursor, request.relay)
-
-    def answer(
-        self, request: PullRequest, denied: Fact | None, now_ms: int
-    ) -> PullAnswer:
-        """Return what is newer than a request says."""
-        known = max(request.config_version, request.fetched_version)
-        cursor = request.cursor if request.answerer == self.own.incarnation else 0
-        facts = self.facts.since(cursor, request.relay, now_ms, request.sender)
-        if request.digests and not cursor:
-            facts = self.facts.unlike(request.digests, facts)
-        if denied is not None and denied not in facts:
-            facts.append(denied)
-        delta = None
-        if self.config.version > known:
-            delta = self.config.delta_since(known)
-        plan = None
-        if self.plan.served_order > (request.plan_epoch, request.plan_version):
-            plan = self.plan_for(request)
-        return PullAnswer(
-            incarnation=self.own.incarnation,
-            cursor=self.facts.sequence,
-            config_version=self.config.version,
-            store_age_ms=self.store_age_ms(now_ms),
-            config=delta,
-            plan=plan,
-            facts=facts,
-            unreachable=self.unreachable(now_ms),
-        )
-
-    def plan_for(self, request: PullRequest) -> PlanRecord | None:
-        """Return the plan, only the part that the sender needs."""
-        plan = self.plan.current
-        if plan is None or request.relay:
-            return plan
-        body = self.trim_plan(plan.body, request.sender)
-        return msgspec.structs.replace(plan, body=body, partial=True)
-
     def take_answer(
         self, target: PullTarget, request: PullRequest, answer: PullAnswer, now_ms: int
     ) -> None:
@@ -284,7 +202,7 @@
         self.readiness.take_peer(target.address, answer.config_version)
         if answer.store_age_ms >= 0:
             sent_ms = self.schedule.slots[target.slot].began_ms
-            self.take_peer_age(answer.store_age_ms, sent_ms)
+            self.store_age.take_peer(answer.store_age_ms, sent_ms)
         self.unreachable_heard = answer.unreachable
         if answer.plan is not None:
             self.take_plan(answer.plan)
@@ -332,31 +250,9 @@
         own = self.own.peer_address
         return [m.peer_address for m in members if m.peer_address != own][:8]
 
-    def take_peer_age(self, age_ms: int, sent_ms: int) -> None:
-        """Keep the moment at which a peer's state equalled the store's.
-
-        Counted from when the pull was sent: counted from the answer, the
-        age would shrink by the delay each time it goes round.
-        """
-        known_ms = sent_ms - age_ms
-        if self.store_known_ms is None or known_ms > self.store_known_ms:
-            self.store_known_ms = known_ms
-
-    def store_age_ms(self, now_ms: int) -> int:
-        """Return how old the configuration may be, -1 if not known."""
-        ages = [self.readiness.store_age_ms(now_ms)]
-        if self.store_known_ms is not None:
-            ages.append(now_ms - self.store_known_ms)
-        return min((age for age in ages if age >= 0), default=-1)
-
     def basis(self, now_ms: int) -> Basis:
         """Return what this node's configuration rests on."""
-        peer_age_ms = -1
-        if self.store_known_ms is not None:
-            peer_age_ms = now_ms - self.store_known_ms
-        own_age_ms = self.readiness.store_age_ms(now_ms)
-        limit_ms = 2 * self.settings.watch_ms
-        return choose_basis(self.config.version, own_age_ms, peer_age_ms, limit_ms)
+        return self.store_age.basis(self.config.version, now_ms)
 
     def due_reads(self, now_ms: int) -> list[StoreRead]:
         """Return the reads of the store to send now."""
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/pull_exchange.py
@@ -0,0 +1,84 @@
+"""Ask other nodes for what is newer than this one knows, and answer them."""
+
+import msgspec
+
+from .messages import EMPTY_RAW, Fact, PlanRecord, PullAnswer, PullRequest
+from .node import FleetNode
+from .pulls import PullTarget, Slot
+
+
+def make_request(node: FleetNode, target: PullTarget) -> PullRequest:
+    """Return the request to send to a target; it takes the report along."""
+    place = (target.name, node.is_relay)
+    answerer, cursor = node.cursors.get(place, (0, 0))
+    epoch, version = node.plan.order
+    if node.is_relay:
+        epoch, version = node.plan.served_order
+    report = EMPTY_RAW
+    if target.slot is Slot.RELAY and not node.is_relay:
+        report, node.report = node.report, EMPTY_RAW
+    return PullRequest(
+        sender=node.own.name,
+        incarnation=node.own.incarnation,
+        config_version=node.config.version,
+        fetched_version=node.config.fetched_version,
+        plan_epoch=epoch,
+        plan_version=version,
+        answerer=answerer,
+        cursor=cursor,
+        hold_ms=target.hold_ms,
+        relay=node.is_relay,
+        facts=list(node.outbox.values()),
+        digests={} if answerer else node.facts.digests(),
+        report=report,
+    )
+
+
+def has_news(node: FleetNode, request: PullRequest) -> bool:
+    """Tell whether a waiting pull should be answered now."""
+    known = max(request.config_version, request.fetched_version)
+    if node.config.version > known:
+        return True
+    if node.plan.served_order > (request.plan_epoch, request.plan_version):
+        return True
+    if request.answerer != node.own.incarnation:
+        return True
+    return node.facts.has_news(request.cursor, request.relay)
+
+
+def answer_pull(
+    node: FleetNode, request: PullRequest, denied: Fact | None, now_ms: int
+) -> PullAnswer:
+    """Return what is newer than a request says, and a fact to be denied."""
+    known = max(request.config_version, request.fetched_version)
+    cursor = request.cursor if request.answerer == node.own.incarnation else 0
+    facts = node.facts.since(cursor, request.relay, now_ms, request.sender)
+    if request.digests and not cursor:
+        facts = node.facts.unlike(request.digests, facts)
+    if denied is not None and denied not in facts:
+        facts.append(denied)
+    delta = None
+    if node.config.version > known:
+        delta = node.config.delta_since(known)
+    plan = None
+    if node.plan.served_order > (request.plan_epoch, request.plan_version):
+        plan = plan_for(node, request)
+    return PullAnswer(
+        incarnation=node.own.incarnation,
+        cursor=node.facts.sequence,
+        config_version=node.config.version,
+        store_age_ms=node.store_age.at(now_ms),
+        config=delta,
+        plan=plan,
+        facts=facts,
+        unreachable=node.unreachable(now_ms),
+    )
+
+
+def plan_for(node: FleetNode, request: PullRequest) -> PlanRecord | None:
+    """Return the plan, only the part that the sender needs."""
+    plan = node.plan.current
+    if plan is None or request.relay:
+        return plan
+    body = node.trim_plan(plan.body, request.sender)
+    return msgspec.structs.replace(plan, body=body, partial=True)
--- a/packages/bilberry_fleet/src/bilberry_fleet/task.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/task.py
@@ -32,6 +32,7 @@
 from .node import FleetNode
 from .peers import PeerClient
 from .planner import PlanError
+from .pull_exchange import answer_pull, has_news, make_request
 from .pulls import PullTarget
 from .reports import MergeReports, keep_apart
 from .server import PeerAnswer, PeerServer
@@ -222,7 +223,7 @@
 
     def pull(self, target: PullTarget) -> None:
         """Pull from one peer."""
-        request = self.node.make_request(target)
+        request = make_request(self.node, target)
         result = self.peers.pull(target.address, request)
         now_ms = self.clock.now_ms()
         if isinstance(result, Failure):
@@ -240,12 +241,12 @@
         self.changed()
         hold_ms = min(request.hold_ms, self.settings.poll_hold_ms)
         until_ms = began_ms + hold_ms
-        while denied is None and not self.node.has_news(request):
+        while denied is None and not has_news(self.node, request):
             left_ms = until_ms - self.clock.now_ms()
             if left_ms <= 0:
                 break
             self.news.wait(left_ms / MS_PER_SECOND)
-        return self.node.answer(request, denied, self.clock.now_ms())
+        return answer_pull(self.node, request, denied, self.clock.now_ms())
 
     def on_reports(self, batch: ReportBatch) -> None:
         """Pass a relay's reports to the planner in this process."""
--- a/tests/bilberry_fleet/test_faults.py
+++ b/tests/bilberry_fleet/test_faults.py
@@ -3,7 +3,8 @@
 import msgspec
 import pytest
 
-from bench.distribution_driver import Driver, make_member, vm_item
+from bench.distribution_driver import Driver
+from bench.distribution_members import make_member, vm_item
 from bilberry_fleet.messages import BasisSource, MemberState, PlanRecord
 from bilberry_fleet.settings import FleetSettings
 
