--- a/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
@@ -12,6 +12,7 @@
 from .cold_turns import ColdTurns
 from .const import (
     BUSY_PART,
+    CALM_PART,
     OTHER_REGION_MS,
     OTHER_REGION_RESERVE,
     SAME_DOMAIN_MS,
@@ -62,11 +63,15 @@
 
 @dataclass(slots=True)
 class Offers:
-    """Hold the cheapest choice of each region, and what waiting costs."""
+    """Hold the cheapest choice of each region, and what waiting costs.
+
+    `calm` names regions that a late request need not stay away from.
+    """
 
     best: dict[str, Choice] = field(default_factory=dict)
     costs: dict[str, float] = field(default_factory=dict)
     wait_cost_ms: float = NO_WAIT
+    calm: set[str] = field(default_factory=set)
 
     def add(self, choice: Choice, cost_ms: float) -> None:
         """Keep a choice if it is the cheapest of its region."""
@@ -77,7 +82,11 @@
 
     def regions(self) -> list[str]:
         """Return the regions worth using now, the cheapest first."""
-        worth = [r for r, cost in self.costs.items() if cost <= self.wait_cost_ms]
+        worth = [
+            region
+            for region, cost_ms in self.costs.items()
+            if cost_ms <= self.wait_cost_ms or region in self.calm
+        ]
         return sorted(worth, key=self.costs.__getitem__)
 
 
@@ -183,11 +192,11 @@
                 if self._keeps_affinity(upstream, warmth, busy):
                     choice = Choice(upstream, warmth, expected_ms)
                     offers.add(choice, cost_ms + BALANCE_MS * load)
+                    if waited.is_late and load < CALM_PART:
+                        offers.calm.add(upstream.spec.region)
             elif self._is_worth_a_wait(upstream, warmth, now_ms):
                 cost_ms += wait_ms(upstream, need.work, waited, len(home))
                 offers.wait_cost_ms = min(offers.wait_cost_ms, cost_ms)
-        if waited.is_late and not busy:
-            offers.wait_cost_ms = NO_WAIT
         return offers
 
     def _is_home(self, upstream: Upstream) -> bool:
--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -8,6 +8,7 @@
 PEER_FRESH_MS = 2_500
 OTHER_REGION_RESERVE = 0.1
 BUSY_PART = 0.6
+CALM_PART = 0.4
 LATE_WAIT_PART = 0.25
 
 # Part of the time to work out a forgotten object that a request away from
--- a/tests/bilberry_balance/placement/test_chooser.py
+++ b/tests/bilberry_balance/placement/test_chooser.py
@@ -147,7 +147,7 @@
     assert fleet.name_of() == "far"
 
 
-def test_a_late_request_takes_any_room_of_a_calm_region():
+def test_a_late_request_takes_the_room_of_a_calm_upstream():
     fleet = Fleet(*(spec(f"u{i}", slots=4) for i in range(4)))
     fleet.choose(need("k3")).upstream.in_flight = 4
     late = Waited(is_late=True)
