Let a step of a shift end when it may, not at the next round

By the phase of the reports a step took 2 or 3 rounds of 1.3 s. Change: a round is due when a step has soaked, and when the reports of all nodes cover it; the pause counts as waited.

--- a/packages/bilberry_router/src/bilberry_router/planning.py
+++ b/packages/bilberry_router/src/bilberry_router/planning.py
@@ -14,7 +14,7 @@
 from bilberry_fleet.task import FleetTask
 from bilberry_resources.codec import decode, encode
 from bilberry_steering.base import region_names
-from bilberry_steering.cadence import is_due
+from bilberry_steering.cadence import is_due, round_wait_ms, step_was_followed
 from bilberry_steering.const import CLOCK_SKEW_MS
 from bilberry_steering.health import region_health
 from bilberry_steering.inputs import (
@@ -88,9 +88,11 @@
         self.greenlets.clear()
 
     def plan_loop(self, interval_ms: int) -> None:
-        """Plan in each interval, and soon after a nudge."""
+        """Plan in each interval, after a step's soaking, and after a nudge."""
         while True:
-            self.nudged.wait(interval_ms / MS_PER_SECOND)
+            now_ms = self.state.clock.wall_ms()
+            wait_ms = round_wait_ms(self.plan, interval_ms, NUDGE_SPACING_MS, now_ms)
+            self.nudged.wait(wait_ms / MS_PER_SECOND)
             self.nudged.clear()
             self.plan_if_holder()
             gevent.sleep(NUDGE_SPACING_MS / MS_PER_SECOND)
@@ -123,6 +125,9 @@
             known = self.reports.get(report.node)
             if known is None or known.sent_at_ms <= report.sent_at_ms:
                 self.reports[report.node] = report
+        live = [member.name for member in self.fleet.members() if sends(member)]
+        if self.epoch and step_was_followed(self.plan, self.reports, live):
+            self.nudge()
 
     def take_plan(self, record: PlanRecord) -> None:
         """Install a plan that arrived."""
--- a/packages/bilberry_steering/src/bilberry_steering/cadence.py
+++ b/packages/bilberry_steering/src/bilberry_steering/cadence.py
@@ -1,14 +1,51 @@
-"""Say whether a round's plan is worth sending to every node."""
+"""Say when the next round is due, and whether its plan is worth sending."""
+
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
-from .messages import NodeQuota, Plan, ServicePlan
+from .messages import NodeQuota, NodeReport, Plan, ServicePlan, ShiftState
 
 ROUNDS_BEFORE_EXPIRY = 3
 DEMAND_TOLERANCE = 0.2
 DEMAND_FLOOR_PER_S = 1.0
 
 
+def round_wait_ms(
+    plan: Plan | None, interval_ms: int, spacing_ms: int, now_ms: int
+) -> int:
+    """Return the time to the next round: an interval, or a step's soaking.
+
+    The caller lets `spacing_ms` pass after each round; it counts as waited.
+    """
+    wait_ms = interval_ms - spacing_ms
+    for state in _running_steps(plan):
+        if state.settled_at_ms:
+            soaked_ms = state.settled_at_ms + max(state.step_ms, state.soak_ms)
+            wait_ms = min(wait_ms, soaked_ms - now_ms)
+    return max(0, wait_ms)
+
+
+def step_was_followed(
+    plan: Plan | None, reports: Mapping[str, NodeReport], nodes: Iterable[str]
+) -> bool:
+    """Tell whether the reports of all nodes cover a step that waits for them.
+
+    Then a round is due at once: the step may begin to soak.
+    """
+    waiting = [s.step_at_ms for s in _running_steps(plan) if not s.settled_at_ms]
+    if not waiting:
+        return False
+    begins_ms = min(waiting)
+    found = [reports.get(name) for name in nodes]
+    return all(r is not None and r.sent_at_ms - r.window_ms >= begins_ms for r in found)
+
+
+def _running_steps(plan: Plan | None) -> list[ShiftState]:
+    services = plan.services.values() if plan is not None else ()
+    return [service.shift for service in services if service.before]
+
+
 def is_due(made: Plan, stored: Plan | None, interval_ms: int, now_ms: int) -> bool:
     """Tell whether `made` has to replace the plan last stored.
 
--- /dev/null
+++ b/tests/bilberry_steering/test_cadence_of_shifts.py
@@ -0,0 +1,122 @@
+"""Each step of a shift ends as soon as it may, at any phase of the reports."""
+
+import msgspec
+import pytest
+
+from bilberry_steering.cadence import is_due, round_wait_ms, step_was_followed
+from bilberry_steering.messages import ShiftPhase
+from bilberry_steering.planner import Planner
+from tests.bilberry_steering.worlds import Fleet, weights_intent, world
+
+INTERVAL_MS = 1_000
+REPORT_MS = 1_000
+SPACING_MS = 300
+STEP_MS = 1_000
+DELAY_MS = 40
+# The demonstration allows its 7 steps 25 s.
+STEP_LIMIT_MS = 25_000 / 7
+PLAY_LIMIT_MS = 90_000
+HALF_AWAY = {"mtl": 1, "qc": 1, "sag": 0.4}
+
+
+class Timeline:
+    """Play reports and rounds at their own times on a manual clock."""
+
+    def __init__(self, phase_ms):
+        cap = {"max_share": 0.1, "step_ms": STEP_MS, "soak_ms": STEP_MS}
+        intent = weights_intent(HALF_AWAY, **cap)
+        self.fleet = Fleet(world(300.0, shift=intent), nodes=3, demand=60.0)
+        self.start_ms = self.fleet.now_ms
+        self.report_ms = self.start_ms + phase_ms
+        self.round_ms = self.start_ms
+        self.arrivals = []
+        self.earliest_ms = self.start_ms
+
+    def play(self):
+        """Return how long the shift took."""
+        while True:
+            times = [self.report_ms, self.round_ms, *(a[0] for a in self.arrivals[:1])]
+            now_ms = min(times)
+            if now_ms - self.start_ms > PLAY_LIMIT_MS:
+                return now_ms - self.start_ms
+            if self.arrivals and self.arrivals[0][0] == now_ms:
+                self.arrive(now_ms)
+            elif now_ms == self.report_ms:
+                self.report(now_ms)
+            elif self.plan(now_ms):
+                return now_ms - self.start_ms
+
+    def report(self, now_ms):
+        fleet = self.fleet
+        fleet.now_ms = now_ms - 1_000
+        fleet.tick()
+        reports = {n: node.take_report(now_ms) for n, node in fleet.nodes.items()}
+        self.arrivals.append((now_ms + DELAY_MS, reports))
+        self.report_ms += REPORT_MS
+
+    def arrive(self, now_ms):
+        fleet = self.fleet
+        fleet.reports = self.arrivals.pop(0)[1]
+        if step_was_followed(fleet.plan, fleet.reports, fleet.nodes):
+            self.round_ms = max(now_ms, self.earliest_ms)
+
+    def plan(self, now_ms):
+        """Make one round; return whether the shift is complete."""
+        fleet = self.fleet
+        fleet.now_ms = now_ms
+        made = Planner().plan(fleet.inputs(), now_ms)
+        if made.decisions or is_due(made.plan, fleet.plan, INTERVAL_MS, now_ms):
+            fleet.plan = made.plan
+            for node in fleet.nodes.values():
+                node.install_plan(fleet.plan, now_ms)
+        self.earliest_ms = now_ms + SPACING_MS
+        at_ms = self.earliest_ms
+        self.round_ms = at_ms + round_wait_ms(
+            fleet.plan, INTERVAL_MS, SPACING_MS, at_ms
+        )
+        return fleet.plan.services["suivi"].shift.phase is ShiftPhase.COMPLETE
+
+
+@pytest.mark.parametrize("phase_ms", range(10, 1_000, 90))
+def test_no_phase_of_the_reports_makes_steps_wait_for_rounds(phase_ms):
+    timeline = Timeline(phase_ms)
+    took_ms = timeline.play()
+    steps = timeline.fleet.plan.services["suivi"].shift.steps_done
+    assert steps >= 7
+    assert took_ms <= steps * STEP_LIMIT_MS
+
+
+def soaking_plan(settled_at_ms):
+    timeline = Timeline(0)
+    fleet = timeline.fleet
+    fleet.run(3, seconds=1)
+    service = fleet.plan.services["suivi"]
+    service.before = dict(service.slots)
+    service.shift = msgspec.structs.replace(
+        service.shift, settled_at_ms=settled_at_ms, step_ms=400, soak_ms=700
+    )
+    return fleet
+
+
+def test_the_next_round_comes_when_a_step_has_soaked():
+    fleet = soaking_plan(settled_at_ms=50_000)
+    assert round_wait_ms(fleet.plan, 1_000, 300, 50_100) == 600
+    assert round_wait_ms(fleet.plan, 1_000, 300, 51_000) == 0
+    assert round_wait_ms(fleet.plan, 500, 300, 50_100) == 200
+
+
+def test_rounds_are_an_interval_apart_where_nothing_soaks():
+    assert round_wait_ms(None, 1_000, 300, 50_000) == 700
+    assert round_wait_ms(None, 100, 300, 50_000) == 0
+
+
+def test_a_step_is_followed_once_the_report_of_each_node_began_after_it():
+    fleet = soaking_plan(settled_at_ms=0)
+    begins_ms = fleet.plan.services["suivi"].shift.step_at_ms
+    assert step_was_followed(fleet.plan, fleet.reports, fleet.nodes) is (
+        all(r.sent_at_ms - r.window_ms >= begins_ms for r in fleet.reports.values())
+    )
+    fleet.plan.services["suivi"].shift.step_at_ms = 0
+    assert step_was_followed(fleet.plan, fleet.reports, fleet.nodes)
+    assert not step_was_followed(fleet.plan, fleet.reports, [*fleet.nodes, "new"])
+    assert not step_was_followed(None, fleet.reports, fleet.nodes)
