Look the epoch up when asked for a key that is not owned here

Change: a node that is asked as owner reads the epoch, at most every 200 ms; a hand-over is awaited for 4 s, never beyond the caller's time.

--- a/packages/bilberry_router/src/bilberry_router/forward/keyed/desk.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/keyed/desk.py
@@ -30,8 +30,9 @@
 
 RUN_MARGIN_MS = 5_000
 HANDED_POLL_MS = 50
+EPOCH_READ_SPACING_MS = 200
 # How long after a change of owners the former one's keys may still arrive.
-HANDOVER_EXPECTED_MS = 2_000
+HANDOVER_EXPECTED_MS = 4_000
 REASON_RESTARTED = "the key's owner was replaced"
 REASON_STILL_RUNNING = "the first request is still running"
 
@@ -48,10 +49,20 @@
 class KeyDesk:
     """Own this node's table of keys and the runs that it allowed.
 
-    `send_handover` carries hand-overs to their new owner.
+    `send_handover` carries hand-overs to their new owner; `read_epoch`
+    reads the epoch from the store.
     """
 
-    __slots__ = ("clock", "member", "ownership", "runs", "send_handover", "table")
+    __slots__ = (
+        "clock",
+        "member",
+        "ownership",
+        "read_at_ms",
+        "read_epoch",
+        "runs",
+        "send_handover",
+        "table",
+    )
 
     def __init__(self, member: str, clock: Clock, retention_ms: int) -> None:
         self.member = member
@@ -60,12 +71,15 @@
         self.table = KeyTable(self.ownership, retention_ms=retention_ms)
         self.runs: dict[str, Run] = {}
         self.send_handover: Callable[[Handover], None] | None = None
+        self.read_epoch: Callable[[], bool] | None = None
+        self.read_at_ms = clock.now_ms() - EPOCH_READ_SPACING_MS
 
     def begin(self, call: BeginCall) -> BeginReply:
         """Decide on a key; wait for its first request or its hand-over."""
         if call.target != self.member:
             return BeginReply(Decision.UNKNOWN, REASON_RESTARTED)
         end_ms = self.clock.now_ms() + call.wait_ms
+        self.catch_up(call.key)
         while True:
             run = self.runs.get(call.key)
             if run is not None and run.attempt == call.attempt:
@@ -86,6 +100,19 @@
                 return BeginReply(Decision.STILL_RUNNING, REASON_STILL_RUNNING)
             self.wait_for_end(run, end_ms - now_ms)
 
+    def catch_up(self, key: str) -> None:
+        """Read the epoch if another node takes this one for a key's owner.
+
+        It may have become one just now; a node that owned nothing looks at
+        the epoch only seldom.
+        """
+        now_ms = self.clock.now_ms()
+        if self.ownership.owner(key) == self.member or self.read_epoch is None:
+            return
+        if now_ms - self.read_at_ms >= EPOCH_READ_SPACING_MS:
+            self.read_at_ms = now_ms
+            self.read_epoch()
+
     def awaits_handover(self, key: str, now_ms: int) -> bool:
         """Tell whether the former owner's keys may come within moments."""
         if key in self.table.entries:
