Take each mechanism out once; add the four tests that were missing

Not noticed: an answer without an id, a kept connection that the upstream had closed, a refusal after a lost answer, a caller's cancellation (its test's upstream held for 10 s, the route's timeout of 2 s ended it), and the reuse of a connection after a cut body.

--- a/tests/bilberry_router/entry/test_forwarder.py
+++ b/tests/bilberry_router/entry/test_forwarder.py
@@ -14,6 +14,8 @@
     "cut short": HEAD + b"\r\nab",
     "no digest": f"HTTP/1.1 200 OK\r\n{NAMES.request_id}: r1\r\n"
     "Content-Length: 2\r\n\r\nok".encode(),
+    "no id": f"HTTP/1.1 200 OK\r\n{NAMES.digest}: d\r\n"
+    "Content-Length: 2\r\n\r\nok".encode(),
     "encoded": HEAD + b"Content-Encoding: gzip\r\n\r\nabcd",
     "no answer": b"hello, this is no answer\r\n\r\n",
     "closed at once": b"",
@@ -151,6 +153,36 @@
         eventually(lambda: not rig.state.upstreams.by_name["u0"].in_flight)
 
 
+def test_a_caller_that_leaves_cancels_its_request_long_before_the_timeout():
+    with Rig(count=1) as rig:
+        rig.state.install(config(2, (route("long", "/long/", timeout_ms=60_000),)))
+        rig.hold()
+        client = rig.client()
+        client.send("/long/x")
+        eventually(lambda: rig.ran)
+        client.reset()
+        eventually(lambda: not rig.state.upstreams.by_name["u0"].in_flight)
+
+
+def test_a_lost_answer_without_another_upstream_is_no_refusal():
+    with Rig(count=1) as rig:
+        rig.upstreams[0].faults.script = [None]
+        answer = rig.ask("/read/x")
+        assert answer.status == 502
+        assert "retry-after" not in answer.headers
+        assert len(rig.ran) == 1
+
+
+def test_a_connection_that_the_upstream_has_closed_is_not_used_again():
+    with Rig(count=1) as rig:
+        rig.upstreams[0].faults.script = [HEAD + b"\r\nfine"]
+        assert rig.ask("/read/x").body == b"fine"
+        links = rig.links.idle[rig.upstreams[0].address]
+        eventually(lambda: not links[0].is_silent())
+        assert rig.ask("/book/x", method="POST", request_id="r2").status == 200
+        assert len(rig.ran) == 2
+
+
 def test_a_caller_that_leaves_the_queue_is_never_sent():
     with Rig(count=1, slots=1) as rig:
         release = rig.hold()
