Never lose room that was given as its request's wait ended

Cause (from reading; no run has shown it): a queued request is told of its room one turn of the loop later. If its wait ended in between, or its caller hung up, it was refused, and the room stayed taken for good: one slot less of that upstream as this node sees it, until either restarts. Change: what was given stands; the forwarder gives it back when the caller is gone.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/chooser.py
@@ -139,8 +139,7 @@
         object should cost less. `pick_region` is given the regions with
         room, the cheapest first.
         """
-        pool = self.pools.get(need.service, {})
-        fitting = [u for u in pool.values() if usable(u) and _fits(u, need)]
+        fitting = self._fitting(need, usable)
         if not fitting:
             return NoChoice.NO_UPSTREAM
         offers = self._offers(need, fitting, now_ms, waited)
@@ -151,11 +150,8 @@
         self, need: Need, usable: Callable[[Upstream], bool], now_ms: int
     ) -> bool:
         """Tell whether any upstream could take a request, wanted or not."""
-        pool = self.pools.get(need.service, {})
-        fitting = [u for u in pool.values() if usable(u) and _fits(u, need)]
-        return bool(fitting) and bool(
-            self._offers(need, fitting, now_ms, NOT_WAITED).costs
-        )
+        fitting = self._fitting(need, usable)
+        return bool(self._offers(need, fitting, now_ms, NOT_WAITED).costs)
 
     def survey(
         self, need: Need, usable: Callable[[Upstream], bool], now_ms: int
@@ -173,6 +169,12 @@
                 survey.full += 1
         return survey
 
+    def _fitting(
+        self, need: Need, usable: Callable[[Upstream], bool]
+    ) -> list[Upstream]:
+        pool = self.pools.get(need.service, {})
+        return [u for u in pool.values() if usable(u) and _fits(u, need)]
+
     def _offers(
         self, need: Need, fitting: list[Upstream], now_ms: int, waited: Waited
     ) -> Offers:
@@ -187,7 +189,7 @@
         }
         home = [u for u in fitting if self._is_home(u)]
         busy = sum(loads[u.name] for u in home) >= BUSY_PART * max(1, len(home))
-        ranks = self.ranks.of(need.service, need.key)
+        ranks = self.ranks.of(need.service, need.key) if fitting else {}
         offers = Offers()
         for upstream in fitting:
             if self._is_held_back(upstream, now_ms):
--- a/packages/bilberry_router/src/bilberry_router/entry/placing.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placing.py
@@ -40,6 +40,11 @@
     ends_at_ms: int
     granted: AsyncResult = field(default_factory=AsyncResult)
 
+    def abandon(self) -> None:
+        """End the wait without room, unless room was given already."""
+        if not self.granted.ready():
+            self.granted.set(None)
+
 
 @dataclass(slots=True)
 class ServiceQueue:
@@ -123,21 +128,23 @@
         refusal = admit(expected_ms, times.give_up_ms - now_ms)
         if refusal is not None and not self.has_room(request.need, now_ms):
             return refusal
-        in_time_ms, give_up_ms = times.in_time_ms, times.give_up_ms
-        entry = Waiting(request, request.priority, in_time_ms, give_up_ms)
+        watch(request.abandon)
+        choice = self.await_room(request, held, times, now_ms)
+        return choice or Refusal(max(DEFAULT_RETRY_AFTER_MS, expected_ms))
+
+    def await_room(
+        self, request: PlaceRequest, held: ServiceQueue, times: WaitTimes, now_ms: int
+    ) -> Choice | None:
+        """Return the room that a queued request is given, None without any."""
+        entry = Waiting(request, request.priority, times.in_time_ms, times.give_up_ms)
         held.queue.push(entry)
-        watch(lambda: request.granted.set(None))
         self.pump(request.need.service)
-        wait_s = max(0, give_up_ms - now_ms) / MS_PER_SECOND
-        try:
-            choice = request.granted.get(timeout=wait_s)
-        except gevent.Timeout:
-            choice = None
+        wait_s = max(0, times.give_up_ms - now_ms) / MS_PER_SECOND
+        request.granted.wait(timeout=wait_s)
         held.queue.discard(entry)
         waited_ms = self.state.clock.now_ms() - now_ms
         self.state.counts.of(request.need.service).queueing.observe(waited_ms)
-        if choice is None:
-            return Refusal(max(DEFAULT_RETRY_AFTER_MS, expected_ms))
+        choice: Choice | None = request.granted.value
         return choice
 
     def has_room(self, need: Need, now_ms: int) -> bool:
--- /dev/null
+++ b/tests/bilberry_router/entry/test_placing.py
@@ -0,0 +1,78 @@
+"""No room that was given is ever lost, however the wait for it ends."""
+
+import gevent
+from gevent.event import AsyncResult
+
+from bilberry_balance.placement.chooser import Choice, Need, Place
+from bilberry_balance.placement.upstream import UpstreamSpec
+from bilberry_core.clock import SystemClock
+from bilberry_router.entry.placing import Placer, PlaceRequest
+from bilberry_router.entry.state import EntryState
+
+from .common import BOUNDS, config, eventually
+
+TARGET_MS = 60_000
+
+
+class OneSlot:
+    """Hold a placer and its one upstream, which is taken at first."""
+
+    def __init__(self):
+        self.clock = SystemClock()
+        self.state = EntryState("n1", Place("mtl-a", "mtl"), BOUNDS, self.clock)
+        self.state.install(config())
+        spec = UpstreamSpec("u0", "s", "127.0.0.1:1", "mtl-a", "mtl", slots=1)
+        self.upstream = self.state.upstreams.put(spec, draining=False)
+        self.upstream.in_flight = 1
+        self.placer = Placer(self.state)
+        self.hang_up = None
+
+    def request(self):
+        rule = self.state.routes.config.routes[0]
+        work = self.state.work_times(rule, "s")
+        now_ms = self.clock.now_ms()
+        until_ms = now_ms + TARGET_MS
+        need = Need("s", "k", work)
+        return PlaceRequest(need, 0, TARGET_MS, now_ms, until_ms, until_ms)
+
+    def watch(self, on_gone):
+        self.hang_up = on_gone
+
+    def place(self, request):
+        return self.placer.place(request, self.watch)
+
+
+def test_a_caller_that_leaves_as_room_is_given_still_holds_the_room():
+    rig = OneSlot()
+    placing = gevent.spawn(rig.place, rig.request())
+    eventually(lambda: rig.placer.queued("s") == 1)
+    rig.placer.release(rig.upstream)
+    assert rig.upstream.in_flight == 1
+    rig.hang_up()
+    placed = placing.get(timeout=10)
+    assert isinstance(placed, Choice)
+    assert placed.upstream is rig.upstream
+
+
+def test_room_that_is_given_as_the_wait_ends_is_still_held():
+    rig = OneSlot()
+
+    class GivenAtTheEnd(AsyncResult):
+        def wait(self, timeout=None):
+            rig.placer.release(rig.upstream)
+
+    request = rig.request()
+    request.granted = GivenAtTheEnd()
+    placed = rig.place(request)
+    assert isinstance(placed, Choice)
+    assert rig.upstream.in_flight == 1
+
+
+def test_a_caller_that_leaves_the_queue_takes_no_room():
+    rig = OneSlot()
+    placing = gevent.spawn(rig.place, rig.request())
+    eventually(lambda: rig.placer.queued("s") == 1)
+    rig.hang_up()
+    assert not isinstance(placing.get(timeout=10), Choice)
+    rig.placer.release(rig.upstream)
+    assert rig.upstream.in_flight == 0
--- a/tests/bilberry_router/forward/common.py
+++ b/tests/bilberry_router/forward/common.py
@@ -312,3 +312,13 @@
 def eventually(seconds=2):
     with gevent.Timeout(seconds):
         yield
+
+
+def crashes_on(path):
+    def script(upstream, sock):
+        while (request := upstream.read_request(sock)) is not None:
+            if path in request[0].split(b"\r\n")[0]:
+                return
+            sock.sendall(OK)
+
+    return script
--- a/tests/bilberry_router/forward/keyed/test_suspect_notes.py
+++ b/tests/bilberry_router/forward/keyed/test_suspect_notes.py
@@ -2,21 +2,11 @@
 
 import gevent
 
-from tests.bilberry_router.forward.common import OK, eventually
+from tests.bilberry_router.forward.common import OK, crashes_on, eventually
 
 from .common import Nodes
 
 
-def crashes_on(path):
-    def script(upstream, sock):
-        while (request := upstream.read_request(sock)) is not None:
-            if path in request[0].split(b"\r\n")[0]:
-                return
-            sock.sendall(OK)
-
-    return script
-
-
 def test_a_crashing_request_is_refused_by_the_next_node_at_once():
     with Nodes(crashes_on(b"/bad")) as nodes, eventually(5):
         first = nodes.rigs[0].ask("POST", "/bad", body=b"a")
--- a/tests/bilberry_router/forward/test_suspects.py
+++ b/tests/bilberry_router/forward/test_suspects.py
@@ -4,17 +4,7 @@
 
 from bilberry_router.forward.const import DEFAULT_REST_MS
 
-from .common import OK, Rig, eventually
-
-
-def crashes_on(path):
-    def script(upstream, sock):
-        while (request := upstream.read_request(sock)) is not None:
-            if path in request[0].split(b"\r\n")[0]:
-                return
-            sock.sendall(OK)
-
-    return script
+from .common import OK, Rig, crashes_on, eventually
 
 
 def test_crashing_request_costs_two_upstreams_at_most():
