Remove a constant that nothing uses

Found when reading the whole change: entry/events.py named the value of a request that was never sent, but nothing read it.

--- a/packages/bilberry_router/src/bilberry_router/entry/events.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/events.py
@@ -9,7 +9,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-NEVER_SENT_MS = -1
 UPSTREAMS_ANSWER = "upstream's answer"
 
 EVENTS: Registry[str, type["Event"]] = Registry()
