Take a refusal or an answer only if it belongs to the request just sent

A refusal without an id on a used connection was taken for this request's (502/503 mixed up, or sent to a second upstream); a status was read after the bytes that followed an answer had changed it; a late second copy with 204, 304, HEAD or no length was taken for the answer; a 503 of an upstream's own was passed on as "not run"; bytes without end were bounded in finished header lines only.

Change: both paths accept a refusal only with this request's id, or without an id on a connection that carried no other request, and with nothing after it. Connections that carried a refusal aren't used again at the entry. In the project's own interface a request that isn't idempotent goes to a new connection unless the upstream is known to name requests in its answers (the stand-in now does): one connect a booking is the cost. All bytes outside of bodies count towards 64 KB, skipped answers towards 8 and 4 MB; all answers being received at the entry share 32 MB, beyond which only those under 256 KB grow; a response to the store client ends at 16 MB. Only body bytes restart a deadline.

Red tests: a connection whose answer was dropped as another request's went back to the pool and was used again after 10 ms (forward/test_answers.py, forced order). Relays read the platform's VM list at random phases, so three could leave a gap of three intervals; they now take turns by the wall clock (fleet/test_read_schedule.py).

Ruled out: the id alone as proof, as stand-ins and upstreams without ids exist.

--- a/packages/bilberry_fleet/src/bilberry_fleet/node.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/node.py
@@ -334,8 +334,7 @@
 
     def apply_vm_list(self, read: StoreRead, items: list[VmItem], now_ms: int) -> None:
         """Apply the platform's VM list; pull from unknown VMs on it."""
-        relays = len(self.membership.all_relays())
-        self.read_schedule.vm_list_readers = 1 if self.membership.is_alone() else relays
+        self.schedule_vm_lists()
         self.read_schedule.record_answer(read, True, now_ms)
         self.membership.apply_vm_list(items, self.unreachable(now_ms), now_ms)
         if not self.pull_schedule.bootstrap_addresses:
@@ -344,6 +343,16 @@
                 unknown_addresses, self.membership.is_alone()
             )
 
+    def schedule_vm_lists(self) -> None:
+        """Take turns with the other relays to read the VM list."""
+        schedule = self.read_schedule
+        relays = self.membership.all_relays()
+        name = self.membership.own.name
+        if self.membership.is_alone() or name not in relays:
+            relays = [name]
+        schedule.vm_list_readers = len(relays)
+        schedule.vm_list_turn = relays.index(name)
+
     def emit_config_installed(self) -> None:
         """Emit the event for a newer configuration."""
         event = ConfigInstalled(self.config.version, self.config.installed_entries())
--- a/packages/bilberry_fleet/src/bilberry_fleet/read_schedule.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/read_schedule.py
@@ -46,7 +46,12 @@
 
 @dataclass(slots=True)
 class ReadSchedule:
-    """Keep one watch per kind open and read the VM list periodically."""
+    """Keep one watch per kind open and read the VM list periodically.
+
+    `vm_list_readers` nodes read the VM list in turns of `vms_ms`, and this
+    node's turn is `vm_list_turn`. Turns follow the wall clock, which is
+    `wall_offset_ms` ahead of the monotonic one.
+    """
 
     config: ConfigState
     readiness: Readiness
@@ -54,6 +59,8 @@
     node_name: str
     plan_version: int = 0
     vm_list_readers: int = 1
+    vm_list_turn: int = 0
+    wall_offset_ms: int = 0
     store_down: bool = False
     next_probe_ms: int = 0
     states: dict[str, ReadState] = field(default_factory=dict)
@@ -139,10 +146,18 @@
         state.in_flight = False
         state.next_ms = now_ms
         if read.operation is ReadOperation.VMS:
-            state.next_ms = now_ms + self.settings.vms_ms * self.vm_list_readers
+            state.next_ms = self.next_vm_list_ms(now_ms)
         elif read.operation is ReadOperation.LIST:
             state.next_ms = now_ms + self.settings.tick_ms
 
+    def next_vm_list_ms(self, now_ms: int) -> int:
+        """Return when this node's next turn to read the VM list begins."""
+        turn_ms = self.settings.vms_ms
+        cycle_ms = turn_ms * self.vm_list_readers
+        wall_ms = now_ms + self.wall_offset_ms
+        since_turn_ms = (wall_ms - turn_ms * self.vm_list_turn) % cycle_ms
+        return now_ms + cycle_ms - since_turn_ms
+
     def record_failure(self, read: StoreRead, now_ms: int) -> None:
         """Record a failed read and back off, with jitter."""
         state = self.states[read.resource]
--- a/packages/bilberry_fleet/src/bilberry_fleet/store_reader.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/store_reader.py
@@ -75,7 +75,9 @@
         vms = self.store.list_vms()
         if isinstance(vms, Failure):
             return vms.failure()
-        self.node.apply_vm_list(read, vms.unwrap(), self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        self.node.read_schedule.wall_offset_ms = self.clock.wall_ms() - now_ms
+        self.node.apply_vm_list(read, vms.unwrap(), now_ms)
         return None
 
 
--- a/packages/bilberry_router/src/bilberry_router/entry/answers.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/answers.py
@@ -6,6 +6,7 @@
 from bilberry_core.const import HEADER_RETRY_AFTER, MS_PER_SECOND
 
 from .connections import ExchangeOutcome
+from .const import NOT_RUN_STATUSES
 from .heads import answer_headers
 from .messages import EntryAnswer, local_answer
 
@@ -36,8 +37,14 @@
 
 
 def forwarded_answer(outcome: ExchangeOutcome) -> EntryAnswer:
-    """Return an upstream's complete answer, to be sent to the caller."""
+    """Return an upstream's complete answer, to be sent to the caller.
+
+    A status that promises "not run" is replaced, as the upstream's answer
+    doesn't prove it.
+    """
     parser = outcome.parser
     assert parser is not None
+    if parser.status in NOT_RUN_STATUSES:
+        return local_answer(HTTPStatus.BAD_GATEWAY, "the upstream proved nothing")
     headers = answer_headers(parser.headers)
     return EntryAnswer(parser.status, headers, outcome.body, parser.reason)
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -19,7 +19,10 @@
     DEFAULT_IDLE_TIMEOUT_MS,
     IDLE_MARGIN_MS,
     MAX_ANSWER_BYTES,
+    MAX_BUFFERED_BYTES,
     NON_IDEMPOTENT_IDLE_FRACTION,
+    NOT_RUN_STATUSES,
+    SMALL_ANSWER_BYTES,
     TCP_USER_TIMEOUT_MS,
 )
 
@@ -83,22 +86,30 @@
 
 @dataclass(slots=True)
 class ExchangeOutcome:
-    """Represent a complete answer, or the point of failure."""
+    """Represent a complete answer, or the point of failure.
+
+    `is_first_use` is whether the connection carried no request before.
+    """
 
     point: FailurePoint | None
     parser: ResponseParser | None = None
     body: bytes = b""
     reason: str = ""
+    is_first_use: bool = False
 
 
 class ConnectionPool:
-    """Manage the connections from this node to upstreams."""
+    """Manage the connections from this node to upstreams.
+
+    `buffered_bytes` counts the bytes of all answers being received.
+    """
 
-    __slots__ = ("clock", "id_header", "idle")
+    __slots__ = ("buffered_bytes", "clock", "id_header", "idle")
 
     def __init__(self, id_header: str, clock: Clock) -> None:
         self.id_header = id_header.lower()
         self.clock = clock
+        self.buffered_bytes = 0
         self.idle: dict[str, deque[PooledConnection]] = {}
 
     def close(self) -> None:
@@ -111,6 +122,7 @@
     def exchange(self, address: str, attempt: Attempt) -> ExchangeOutcome:
         """Send the request to `address` and return the outcome."""
         connection = self._take_idle(address, attempt.idempotent)
+        is_first_use = connection is None
         if connection is None:
             connected = self._connect(address, attempt)
             if isinstance(connected, ExchangeOutcome):
@@ -121,8 +133,9 @@
             outcome = self._send(connection, attempt)
         finally:
             attempt.connection = None
+        outcome.is_first_use = is_first_use
         parser = outcome.parser
-        if outcome.point is None and parser is not None and parser.is_reusable:
+        if outcome.point is None and parser is not None and _may_reuse(parser):
             self._keep_idle(address, connection, parser)
         else:
             connection.close()
@@ -158,7 +171,22 @@
         parser: ResponseParser,
         fully_sent: bool,
     ) -> ExchangeOutcome:
-        received = 0
+        received = ReceivedBytes(self)
+        try:
+            outcome = self._receive_answer(connection, attempt, parser, received)
+        finally:
+            received.release()
+        if not fully_sent:
+            parser.allows_keep_alive = False
+        return outcome
+
+    def _receive_answer(
+        self,
+        connection: PooledConnection,
+        attempt: Attempt,
+        parser: ResponseParser,
+        received: "ReceivedBytes",
+    ) -> ExchangeOutcome:
         while not parser.is_complete:
             remaining_ms = attempt.deadline_ms - self.clock.now_ms()
             if remaining_ms <= 0:
@@ -175,15 +203,14 @@
                 if parser.is_complete and not attempt.cancelled:
                     break
                 return self._connection_lost(attempt, parser, "closed")
-            received += len(data)
+            received.add(len(data))
             parser.feed(data)
-            if parser.error or received > MAX_ANSWER_BYTES:
+            if parser.error or received.is_too_many:
                 reason = parser.error or "the answer is too large"
+                parser.pop_body()
                 return ExchangeOutcome(
                     FailurePoint.MALFORMED_ANSWER, parser, reason=reason
                 )
-        if not fully_sent:
-            parser.allows_keep_alive = False
         return ExchangeOutcome(None, parser, parser.pop_body())
 
     def _connection_lost(
@@ -231,6 +258,45 @@
         return PooledConnection(sock)
 
 
+class ReceivedBytes:
+    """Count the bytes of one answer, and their part of the pool's total."""
+
+    __slots__ = ("count", "pool")
+
+    def __init__(self, pool: ConnectionPool) -> None:
+        self.pool = pool
+        self.count = 0
+
+    @property
+    def is_too_many(self) -> bool:
+        """Return whether this answer takes too much memory.
+
+        Once all answers together do, only small ones may still grow.
+        """
+        if self.count > MAX_ANSWER_BYTES:
+            return True
+        is_small = self.count <= SMALL_ANSWER_BYTES
+        return self.pool.buffered_bytes > MAX_BUFFERED_BYTES and not is_small
+
+    def add(self, count: int) -> None:
+        """Count received bytes."""
+        self.count += count
+        self.pool.buffered_bytes += count
+
+    def release(self) -> None:
+        """Take this answer's bytes off the pool's total."""
+        self.pool.buffered_bytes -= self.count
+        self.count = 0
+
+
+def _may_reuse(parser: ResponseParser) -> bool:
+    """Return whether a later request may use the answer's connection.
+
+    A refusal that is sent once more must not reach another request.
+    """
+    return parser.is_reusable and parser.status not in NOT_RUN_STATUSES
+
+
 def _set_socket_options(sock: Any) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -1,5 +1,7 @@
 """Constants of the entry; times in ms."""
 
+from http import HTTPStatus
+
 MAX_PIPELINED = 16
 MAX_CONNECTIONS = 3_000
 WRITE_TIMEOUT_MS = 5_000
@@ -13,11 +15,24 @@
 IDLE_MARGIN_MS = 1_000
 NON_IDEMPOTENT_IDLE_FRACTION = 0.5
 MAX_ANSWER_BYTES = 16_000_000
+# Of all answers together; beyond it only small answers are received.
+MAX_BUFFERED_BYTES = 32_000_000
+SMALL_ANSWER_BYTES = 256_000
 MAX_FORWARDED_TIMEOUT_MS = 600_000
 
 # One in this many requests answered in time is logged.
 PROMPT_ANSWERS_PER_SAMPLE = 200
 
+# Statuses that tell a caller that its request has not run.
+NOT_RUN_STATUSES = frozenset(
+    {
+        HTTPStatus.REQUEST_TIMEOUT,
+        HTTPStatus.MISDIRECTED_REQUEST,
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+
 QUEUE_POLL_MS = 20
 MAX_QUEUE_MISSES = 30
 EXPIRY_INTERVAL_MS = 200
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -205,13 +205,14 @@
                 if not record.will_retry:
                     return answer
                 active.upstream_error = answer
+                active.may_have_run = True
                 continue
             decision = self.decide(active, outcome.point)
             record.will_retry = decision.retry
             self.log_attempt_failure(active, placed, record)
             active.may_have_run = decision.may_have_run
             if not decision.retry:
-                return failure_answer(outcome, decision)
+                return active.upstream_error or failure_answer(outcome, decision)
             if outcome.point not in UNSENT_POINTS:
                 budget = self.state.retry_budget(active.service)
                 budget.try_take(self.state.clock.now_ms())
--- a/packages/bilberry_router/src/bilberry_router/forward/attempts.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/attempts.py
@@ -151,7 +151,7 @@
     ) -> ActiveAttempt | FailurePoint:
         """Try one endpoint; return its response or the failure point."""
         left_ms = request.deadline.left_ms(self.clock.now_ms())
-        if request.is_trial:
+        if request.is_trial or needs_new_connection(request, endpoint):
             acquired = endpoint.connections.acquire_new(left_ms)
         else:
             acquired = endpoint.connections.acquire(not request.is_idempotent, left_ms)
@@ -167,8 +167,8 @@
         except BaseException:
             attempt.finish(AttemptOutcome.CANCELLED)
             raise
-        if point is None and proves_not_run(exchange):
-            point = FailurePoint.SHED_NOT_RUN
+        if point is None and is_refusal(exchange):
+            point = refusal_point(exchange)
         if point is None:
             return attempt
         attempt.finish(attempt_outcome(point))
@@ -218,8 +218,28 @@
         return failure_response(request, point, decision)
 
 
-def proves_not_run(exchange: Exchange) -> bool:
-    """Return whether the upstream shed the request without running it."""
+def needs_new_connection(request: ForwardRequest, endpoint: SelectedEndpoint) -> bool:
+    """Return whether a refusal on a used connection would prove nothing.
+
+    An upstream that sends no request ids may repeat an earlier refusal there.
+    """
+    return not request.is_idempotent and not endpoint.connections.sends_request_id
+
+
+def refusal_point(exchange: Exchange) -> FailurePoint:
+    """Return what a refusal proves about the request just sent.
+
+    Without an id it may be an earlier refusal that is sent once more, unless
+    its connection carried no other request.
+    """
+    is_certain = exchange.is_id_confirmed or not exchange.connection.is_reused
+    if is_certain and not exchange.parser.has_excess_bytes:
+        return FailurePoint.SHED_NOT_RUN
+    return FailurePoint.MALFORMED_ANSWER
+
+
+def is_refusal(exchange: Exchange) -> bool:
+    """Return whether the upstream says that it didn't run the request."""
     parser = exchange.parser
     if parser.status != STATUS_UNAVAILABLE:
         return False
--- a/packages/bilberry_router/src/bilberry_router/forward/exchange.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/exchange.py
@@ -25,6 +25,7 @@
         "caller_error",
         "clock",
         "connection",
+        "has_foreign_response",
         "has_sent_all",
         "has_sent_any",
         "is_id_confirmed",
@@ -48,6 +49,7 @@
         self.send_failed = False
         self.has_sent_any = False
         self.is_id_confirmed = False
+        self.has_foreign_response = False
         self.has_sent_all = False
         self.sent_bytes = 0
         self.received_bytes = 0
@@ -55,7 +57,9 @@
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection may carry another request."""
-        return self.parser.is_reusable and self.has_sent_all and not self.send_failed
+        if self.send_failed or self.has_foreign_response:
+            return False
+        return self.parser.is_reusable and self.has_sent_all
 
     def run(self) -> FailurePoint | None:
         """Send the request and receive the start of the response.
@@ -136,11 +140,12 @@
         if not data:
             return self.closed_failure_point()
         self.received_bytes += len(data)
+        body_bytes = self.parser.body_bytes
         self.parser.feed(data)
         if self.parser.error:
             _LOGGER.info("forward: Malformed response: %s.", self.parser.error)
             return FailurePoint.MALFORMED_ANSWER
-        if self.parser.is_head_complete:
+        if self.parser.is_complete or self.parser.body_bytes > body_bytes:
             self.request.extend_deadline(self.clock.now_ms())
         return None
 
@@ -162,6 +167,7 @@
         self.is_id_confirmed = response_id == self.request.request_id
         if self.is_id_confirmed:
             return None
+        self.has_foreign_response = True
         _LOGGER.warning("forward: Dropped response to another request.")
         return FailurePoint.MALFORMED_ANSWER
 
--- a/packages/bilberry_router/src/bilberry_router/forward/response_parser.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/response_parser.py
@@ -9,7 +9,10 @@
     HEADER_CONNECTION,
     HEADER_CONTENT_LENGTH,
     HEADER_TRANSFER_ENCODING,
+    MAX_CHUNK_FRAMING_BYTES,
     MAX_RESPONSE_HEAD_BYTES,
+    MAX_SKIPPED_BODY_BYTES,
+    MAX_SKIPPED_RESPONSES,
     METHOD_HEAD,
 )
 
@@ -30,6 +33,9 @@
     than `request_id` are skipped and counted in `skipped`. With
     `ends_with_connection` a response of unknown length ends when the
     connection closes.
+
+    All bytes outside of bodies count towards one limit, whether or not they
+    end a line, so that endless heads and chunk framing are detected early.
     """
 
     def __init__(
@@ -45,6 +51,7 @@
         self.ends_with_connection = ends_with_connection
         self.parser = httptools.HttpResponseParser(self)
         self.headers: list[tuple[str, str]] = []
+        self.status = 0
         self.reason = ""
         self.body_parts: list[bytes] = []
         self.is_head_complete = False
@@ -54,15 +61,13 @@
         self.has_started = False
         self.has_interim = False
         self.allows_keep_alive = False
+        self.is_skipping = False
         self.skipped = 0
+        self.skipped_body_bytes = 0
         self.error = ""
-        self.head_bytes = 0
-
-    @property
-    def status(self) -> int:
-        """Return the response's status code."""
-        code: int = self.parser.get_status_code()
-        return code
+        self.fed_bytes = 0
+        self.body_bytes = 0
+        self.chunk_count = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -77,6 +82,7 @@
             self.has_excess_bytes = True
             return
         self.has_started = True
+        self.fed_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -84,10 +90,14 @@
         except httptools.HttpParserError as error:
             cause = error.__context__
             self._set_error(str(cause if isinstance(cause, ResponseError) else error))
+        else:
+            self._check_framing()
 
     def feed_eof(self) -> None:
         """Complete a response that ends when its connection closes."""
-        if self.is_head_complete and not self.has_known_length and not self.error:
+        if self.has_known_length or self.is_skipping or self.error:
+            return
+        if self.is_head_complete:
             self.is_complete = True
 
     def pop_body(self) -> bytes:
@@ -122,24 +132,20 @@
         if self.is_complete or self.is_head_complete:
             return
         value = value or b""
-        self.head_bytes += len(name) + len(value)
-        if self.head_bytes > MAX_RESPONSE_HEAD_BYTES:
-            raise ResponseError("the answer's head is too large")
         self.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Check the response head; called by the parser."""
         if self.is_complete:
             return
-        if self.head_bytes > MAX_RESPONSE_HEAD_BYTES:
-            raise ResponseError("the answer's head is too large")
-        status = self.status
+        status: int = self.parser.get_status_code()
         if status == STATUS_SWITCHING_PROTOCOLS:
             raise ResponseError("unasked switch of protocols")
         if status < FIRST_FINAL_STATUS:
             self.has_interim = True
             return
         self.is_head_complete = True
+        self.status = status
         self.allows_keep_alive = self.parser.should_keep_alive()
         if "close" in connection_options(self.values(HEADER_CONNECTION)):
             self.allows_keep_alive = False
@@ -147,13 +153,26 @@
         self.has_known_length = bodiless or self._declares_length()
         if not self.has_known_length and not self.ends_with_connection:
             raise ResponseError("the answer's length is not told")
-        if bodiless:
+        self.is_skipping = self._is_for_other_request()
+        if self.is_skipping and self.method == METHOD_HEAD:
+            # The parser would take the next response for this one's body.
+            raise ResponseError("the answer is to another request")
+        if bodiless and not self.is_skipping:
             self.is_complete = True
 
+    def on_chunk_header(self) -> None:
+        """Count a chunk; called by the parser."""
+        self.chunk_count += 1
+
     def on_body(self, data: bytes) -> None:
         """Store a part of the body; called by the parser."""
+        self.body_bytes += len(data)
         if self.is_complete:
             self.has_excess_bytes = True
+        elif self.is_skipping:
+            self.skipped_body_bytes += len(data)
+            if self.skipped_body_bytes > MAX_SKIPPED_BODY_BYTES:
+                raise ResponseError("answers to other requests are too large")
         else:
             self.body_parts.append(data)
 
@@ -161,11 +180,13 @@
         """Finish a response, or skip it; called by the parser."""
         if self.is_complete:
             return
-        if self.is_head_complete and not self._is_for_other_request():
+        if self.is_head_complete and not self.is_skipping:
             self.is_complete = True
             return
-        if self.is_head_complete:
+        if self.is_skipping:
             self.skipped += 1
+        if self.skipped > MAX_SKIPPED_RESPONSES:
+            raise ResponseError("too many answers to other requests")
         self._reset()
 
     def _reset(self) -> None:
@@ -173,7 +194,18 @@
         self.body_parts.clear()
         self.reason = ""
         self.is_head_complete = False
-        self.head_bytes = 0
+        self.is_skipping = False
+        self.has_known_length = True
+
+    def _check_framing(self) -> None:
+        """Set an error if too many bytes belong to no body."""
+        if self.is_complete:
+            return
+        framing_bytes = self.fed_bytes - self.body_bytes
+        allowed_bytes = MAX_RESPONSE_HEAD_BYTES
+        allowed_bytes += MAX_CHUNK_FRAMING_BYTES * self.chunk_count
+        if framing_bytes > allowed_bytes:
+            self._set_error("the answer's head or framing is too large")
 
     def _is_for_other_request(self) -> bool:
         if not self.id_header:
--- a/packages/bilberry_router/src/bilberry_router/forward/transport.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/transport.py
@@ -43,15 +43,16 @@
 class UpstreamConnection:
     """A connection to an upstream.
 
-    `expects_request_id` is set for a reused connection to an upstream that
-    sends the request id in its responses.
+    `is_reused` is set once it has carried a request, `expects_request_id`
+    if the upstream is also known to send the request id in its responses.
     """
 
-    __slots__ = ("expects_request_id", "idle_since_ms", "sock")
+    __slots__ = ("expects_request_id", "idle_since_ms", "is_reused", "sock")
 
     def __init__(self, sock: Any) -> None:
         self.sock = sock
         self.idle_since_ms = 0
+        self.is_reused = False
         self.expects_request_id = False
 
     def idle_state(self) -> IdleState:
@@ -121,6 +122,7 @@
         """
         connection = self._reuse(recent_only)
         if connection is not None:
+            connection.is_reused = True
             connection.expects_request_id = self.sends_request_id
             self.in_use.add(connection)
             return Success(connection)
--- a/packages/bilberry_store/src/bilberry_store/byte_counter.py
+++ b/packages/bilberry_store/src/bilberry_store/byte_counter.py
@@ -5,6 +5,8 @@
 
 import gevent.socket
 
+from .const import MAX_RESPONSE_BYTES
+
 
 @dataclass(slots=True)
 class ByteCounter:
@@ -14,18 +16,31 @@
     received_bytes: int = 0
 
 
+class ResponseTooLargeError(OSError):
+    """Raised when a response exceeds `MAX_RESPONSE_BYTES`."""
+
+
 class CountingSocket(gevent.socket.socket):
-    """Count the bytes sent and received in a `ByteCounter`."""
+    """Count the bytes sent and received in a `ByteCounter`.
+
+    The bytes received since the last send are those of one response, which
+    is limited as it is kept in memory.
+    """
 
     byte_counter: ByteCounter
+    response_bytes = 0
 
     def sendall(self, data: Any, flags: int = 0) -> Any:
         """Count and send all of `data`."""
         self.byte_counter.sent_bytes += len(data)
+        self.response_bytes = 0
         return super().sendall(data, flags)
 
     def recv(self, *args: Any) -> bytes:
         """Receive bytes and count them."""
         data: bytes = super().recv(*args)
         self.byte_counter.received_bytes += len(data)
+        self.response_bytes += len(data)
+        if self.response_bytes > MAX_RESPONSE_BYTES:
+            raise ResponseTooLargeError(f"over {MAX_RESPONSE_BYTES} bytes")
         return data
--- a/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
@@ -39,13 +39,14 @@
 
     `script` contains raw bytes to send instead of the next answers, None
     for a reset; `shed_next` is the number of next requests to reject; no
-    request ends before `hold` is set; `build_trailing_bytes` returns bytes
-    to send after an answer.
+    request ends before `hold` is set; `build_leading_bytes` and
+    `build_trailing_bytes` return bytes to send before and after an answer.
     """
 
     script: list[bytes | None] = field(default_factory=list)
     shed_next: int = 0
     hold: Event | None = None
+    build_leading_bytes: Callable[[ServedRequest], bytes] | None = None
     build_trailing_bytes: Callable[[ServedRequest], bytes] | None = None
 
 
@@ -146,7 +147,10 @@
                 return False
             sock.sendall(raw)
             return False
-        sock.sendall(self.build_answer(served))
+        leading = b""
+        if self.faults.build_leading_bytes is not None:
+            leading = self.faults.build_leading_bytes(served)
+        sock.sendall(leading + self.build_answer(served))
         served.answer_complete = True
         if self.faults.build_trailing_bytes is not None:
             sock.sendall(self.faults.build_trailing_bytes(served))
--- a/packages/bilberry_testing/src/bilberry_testing/upstream/server.py
+++ b/packages/bilberry_testing/src/bilberry_testing/upstream/server.py
@@ -16,7 +16,7 @@
 from gevent.server import StreamServer
 
 from bilberry_core.clock import Clock, SystemClock
-from bilberry_core.const import HEADER_NOT_RUN, MS_PER_SECOND
+from bilberry_core.const import HEADER_NOT_RUN, HEADER_REQUEST_ID, MS_PER_SECOND
 
 from ..const import (
     DEFAULT_ADDRESS,
@@ -162,6 +162,8 @@
             answer = self.serve(sock, request)
         if answer is None:
             return False
+        if request.request_id:
+            answer.headers = {**answer.headers, HEADER_REQUEST_ID: request.request_id}
         return send(sock, answer) and answer.keep_alive and request.keep_alive
 
     def serve(self, sock: Any, request: UpstreamRequest) -> Answer | None:
--- a/tests/bilberry_fleet/test_read_schedule.py
+++ b/tests/bilberry_fleet/test_read_schedule.py
@@ -1,10 +1,14 @@
 """Test the schedule of store reads."""
 
+import itertools
+
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from bilberry_fleet.const import CONFIG_KINDS
 from bilberry_fleet.distribution import ConfigState
-from bilberry_fleet.read_schedule import ReadOperation, ReadSchedule
+from bilberry_fleet.read_schedule import RESOURCE_VMS, ReadOperation, ReadSchedule
 from bilberry_fleet.readiness import Readiness
 from bilberry_fleet.settings import FleetSettings
 from bilberry_store.wire import ObjectList
@@ -49,3 +53,34 @@
     reads.record_gone(watch, 700)
     again = [r for r in reads.due(700) if r.resource == watch.resource]
     assert again[0].operation is ReadOperation.LIST
+
+
+@settings(max_examples=60, derandomize=True)
+@given(
+    st.lists(st.integers(0, 20_000), min_size=1, max_size=6),
+    st.integers(0, 10**9),
+    st.integers(1, 300),
+)
+def test_some_reader_reads_the_vm_list_in_each_interval(starts, wall_ms, answer_ms):
+    """Each reader's monotonic clock begins at its start."""
+    interval_ms = FleetSettings().vms_ms
+    times = []
+    for turn, start_ms in enumerate(starts):
+        schedule = ReadSchedule(
+            ConfigState(), Readiness(), FleetSettings(), f"vm-{turn}"
+        )
+        schedule.vm_list_readers = len(starts)
+        schedule.vm_list_turn = turn
+        schedule.wall_offset_ms = wall_ms + start_ms
+        now_ms = 0
+        while now_ms + start_ms < 20_000 + 12 * interval_ms:
+            for read in schedule.due(now_ms):
+                if read.resource == RESOURCE_VMS:
+                    times.append(now_ms + start_ms)
+                    schedule.record_answer(read, True, now_ms + answer_ms)
+            now_ms = max(now_ms + 1, schedule.states[RESOURCE_VMS].next_ms)
+    times.sort()
+    settled = 20_000 + len(starts) * interval_ms
+    later = [time for time in times if time > settled]
+    gaps = [after - before for before, after in itertools.pairwise(later)]
+    assert max(gaps) <= interval_ms
--- a/tests/bilberry_router/forward/test_answers.py
+++ b/tests/bilberry_router/forward/test_answers.py
@@ -200,3 +200,94 @@
         gevent.sleep(0.015)
         assert rig.ask("POST", body=b"x").outcome == "unknown"
         assert rig.ask("POST", body=b"x").status == 200
+
+
+def test_connection_of_a_dropped_answer_is_not_reused():
+    def names_first(upstream, sock):
+        while (request := upstream.read_request(sock)) is not None:
+            line = next(x for x in request[0].split(b"\r\n") if b"X-Request-Id" in x)
+            named = line + b"\r\n" if len(upstream.requests) == 1 else b""
+            sock.sendall(
+                b"HTTP/1.1 200 OK\r\n" + named + b"Content-Length: 2\r\n\r\nok"
+            )
+
+    with ForwarderFixture(names_first) as rig:
+        assert rig.ask("POST", body=b"x").status == 200
+        gevent.sleep((DEFAULT_MIN_IDLE_MS + 2) / 1_000)
+        assert rig.ask("POST", body=b"x").outcome == "unknown"
+        gevent.sleep((DEFAULT_MIN_IDLE_MS + 2) / 1_000)
+        assert rig.ask("POST", body=b"x").status == 200
+        assert rig.upstreams[0].accepted == 2
+
+
+REFUSAL = b"HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nContent-Length: 0\r\n\r\n"
+
+
+def run_then_refuse(upstream, sock):
+    """Run each request, and send an earlier refusal in place of its answer."""
+    sock.sendall(b"")
+    while (request := upstream.read_request(sock)) is not None:
+        if len(upstream.requests) > 1:
+            sock.sendall(REFUSAL)
+        line = next(x for x in request[0].split(b"\r\n") if b"X-Request-Id" in x)
+        sock.sendall(b"HTTP/1.1 200 OK\r\n" + line + b"\r\nContent-Length: 2\r\n\r\nok")
+
+
+def test_earlier_refusal_on_a_reused_connection_proves_nothing():
+    with ForwarderFixture(run_then_refuse, always(OK)) as rig:
+        rig.ask("POST", body=b"x", path="/1")
+        while not rig.upstreams[0].requests:
+            rig.ask("POST", body=b"x")
+        gevent.sleep((DEFAULT_MIN_IDLE_MS + 2) / 1_000)
+        seen = set()
+        while len(rig.upstreams[0].requests) < 2:
+            seen.add(rig.ask("POST", body=b"x").outcome)
+        assert "not-run" not in seen
+
+
+@pytest.mark.parametrize("named", [True, False])
+def test_refusal_on_a_new_connection_is_not_run(named):
+    def sheds(upstream, sock):
+        while (request := upstream.read_request(sock)) is not None:
+            line = next(x for x in request[0].split(b"\r\n") if b"X-Request-Id" in x)
+            named_line = line + b"\r\n" if named else b""
+            sock.sendall(REFUSAL.replace(b"Content", named_line + b"Content"))
+
+    with ForwarderFixture(sheds) as rig:
+        for _ in range(3):
+            assert rig.ask("POST", body=b"x").outcome == "not-run"
+
+
+def test_refusal_with_an_answer_after_it_proves_nothing():
+    with ForwarderFixture(once(REFUSAL + OK)) as rig:
+        assert rig.ask("POST", body=b"x").outcome == "unknown"
+
+
+@pytest.mark.parametrize(
+    ("begin", "more"),
+    [
+        (b"HTTP/1.1 200 OK\r\nA: ", b"x" * 4_096),
+        (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 600),
+        (b"HTTP/1.1 200 ", b"x" * 4_096),
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 200),
+        (CHUNKED + b"5;a=", b"x" * 4_096),
+    ],
+)
+def test_bytes_without_end_close_the_connection(begin, more):
+    ended = []
+
+    def endless(upstream, sock):
+        upstream.read_request(sock)
+        try:
+            sock.sendall(begin)
+            while True:
+                sock.sendall(more)
+                gevent.sleep(0)
+        finally:
+            ended.append(True)
+
+    with ForwarderFixture(endless) as rig, eventually(10):
+        answer = rig.ask("POST", body=b"x")
+        assert answer.outcome == "unknown" or not answer.complete
+        while not ended:
+            gevent.sleep(0.005)
--- a/tests/bilberry_router/forward/test_outcomes.py
+++ b/tests/bilberry_router/forward/test_outcomes.py
@@ -111,15 +111,15 @@
 
 
 def test_death_before_the_first_byte_is_retried(monkeypatch):
-    acquire = EndpointConnections.acquire
+    acquire_new = EndpointConnections.acquire_new
 
-    def acquire_shut(connections, recent_only, wait_ms):
-        acquired = acquire(connections, recent_only, wait_ms)
+    def acquire_shut(connections, wait_ms):
+        acquired = acquire_new(connections, wait_ms)
         if connections.address == rig.addresses[0]:
             acquired.unwrap().shut_down()
         return acquired
 
-    monkeypatch.setattr(EndpointConnections, "acquire", acquire_shut)
+    monkeypatch.setattr(EndpointConnections, "acquire_new", acquire_shut)
     with ForwarderFixture(always(OK), always(OK)) as rig:
         choose_in_order(rig)
         assert rig.ask("POST", body=b"x").outcome == "run"
