Keep what a node hears and compares independent of the fleet's size

Cause: heartbeats went from each node to each other, with every upstream in use, so that bytes between domains grew with the square of the nodes; a choice compared all upstreams of a service, and ranked the whole pool anew at each batch of the upstreams' writes.

Change: heartbeats stay within a failure domain; its first node by rendezvous hashing sums them up for the other domains, four times a second in its region, once a second elsewhere, to one node of each domain in turns, which passes the summary on in its domain. In pools of more than 24 upstreams a request is compared at the first two ranks of its key in each region, where the key was lately, and at 12 others of the region in turns; smaller pools as before. Ranks are computed only for those, and cleared only when a pool changes.

Ruled out: a fixed relay in each domain (330 KB/s on one weak link at 195 nodes by arithmetic), removing nodes at the first summary without them (a new or isolated sender would empty its domain).

--- a/packages/bilberry_balance/src/bilberry_balance/placement/peer_loads.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/peer_loads.py
@@ -7,14 +7,14 @@
 
 @dataclass(slots=True, frozen=True)
 class PeerLoad:
-    """Store the in-flight requests reported by a node, and when."""
+    """Store the in-flight counts that a node or domain reported, and when."""
 
     counts: dict[str, int]
     received_at_ms: int
 
 
 class PeerLoads:
-    """Store the latest in-flight counts of each other node."""
+    """Store the latest in-flight counts of other nodes and failure domains."""
 
     __slots__ = ("peers", "totals")
 
--- a/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
@@ -15,10 +15,13 @@
 from .const import (
     BUSY_LOAD,
     LIGHT_LOAD,
+    MAX_SCANNED_UPSTREAMS,
     OTHER_REGION_COST_MS,
     OTHER_REGION_RESERVE,
     SAME_DOMAIN_COST_MS,
     SAME_REGION_COST_MS,
+    SAMPLED_IN_OTHER_REGION,
+    SAMPLED_IN_OWN_REGION,
 )
 from .costs import (
     INFINITE_COST_MS,
@@ -30,8 +33,9 @@
 )
 from .peer_loads import PeerLoads
 from .processing_times import ProcessingTimes, Warmth
-from .ranks import KeyRanks
+from .ranks import RANKED_PER_REGION, KeyRanks
 from .upstream import Upstream
+from .warm_index import WarmIndex
 
 FULL_LOAD_COST_MS = 10.0
 
@@ -122,9 +126,21 @@
 
 
 class UpstreamSelector:
-    """Select upstreams for one node; pools map services to upstreams."""
+    """Select upstreams for one node; pools map services to upstreams.
 
-    __slots__ = ("cold_rate_limiter", "location", "peer_loads", "pools", "ranks")
+    Of a large pool, a request is compared only at the first-ranked upstreams
+    of its key, those that had the key lately, and some others in turns.
+    """
+
+    __slots__ = (
+        "cold_rate_limiter",
+        "location",
+        "peer_loads",
+        "pools",
+        "ranks",
+        "sample_starts",
+        "warm_index",
+    )
 
     def __init__(
         self,
@@ -138,6 +154,8 @@
         self.peer_loads = peer_loads
         self.cold_rate_limiter = cold_rate_limiter
         self.ranks = KeyRanks(pools)
+        self.warm_index = WarmIndex()
+        self.sample_starts: dict[str, int] = {}
 
     def select(
         self,
@@ -189,12 +207,40 @@
                 counts.full += 1
         return counts
 
+    def record_key(self, upstream: Upstream, key: str, now_ms: int) -> None:
+        """Record that an upstream gets a request for a key."""
+        upstream.record_key(key, now_ms)
+        self.warm_index.record(upstream.spec.service, key, upstream.name)
+
     def _eligible_upstreams(
         self, requirements: UpstreamRequirements, usable: Callable[[Upstream], bool]
     ) -> list[Upstream]:
         pool = self.pools.get(requirements.service, {})
+        if len(pool) > MAX_SCANNED_UPSTREAMS:
+            sampled = self._sample(requirements, pool)
+            found = [u for u in sampled if usable(u) and _is_eligible(u, requirements)]
+            if found:
+                return found
         return [u for u in pool.values() if usable(u) and _is_eligible(u, requirements)]
 
+    def _sample(
+        self, requirements: UpstreamRequirements, pool: dict[str, Upstream]
+    ) -> list[Upstream]:
+        """Return the upstreams of a large pool at which to compare."""
+        service, key = requirements.service, requirements.key
+        names = dict.fromkeys(self.ranks.for_key(service, key))
+        names |= dict.fromkeys(self.warm_index.upstreams(service, key))
+        start = self.sample_starts.get(service, 0)
+        self.sample_starts[service] = start + SAMPLED_IN_OWN_REGION
+        for region, upstreams in self.ranks.pool(service).by_region.items():
+            count = 0 if key else SAMPLED_IN_OTHER_REGION
+            if region == self.location.region:
+                count = SAMPLED_IN_OWN_REGION
+            size = len(upstreams)
+            for index in range(min(count, size)):
+                names[upstreams[(start + index) % size].name] = None
+        return [pool[name] for name in names if name in pool]
+
     def _evaluate(
         self,
         requirements: UpstreamRequirements,
@@ -218,11 +264,13 @@
             if eligible
             else {}
         )
+        unranked = RANKED_PER_REGION if requirements.key else 0
+        local_count = self._local_count(requirements.service)
         candidates = RegionCandidates()
         for upstream in eligible:
             if self._is_held_back(upstream, now_ms):
                 continue
-            rank = ranks.get(upstream.name, 0)
+            rank = ranks.get(upstream.name, unranked)
             warmth = _warmth(upstream, requirements.key, rank, now_ms)
             expected_ms = processing_ms(
                 upstream, requirements.processing_times, warmth, now_ms
@@ -238,11 +286,15 @@
                         candidates.lightly_loaded.add(upstream.spec.region)
             elif self._is_worth_waiting_for(upstream, warmth, now_ms):
                 cost_ms += expected_wait_ms(
-                    upstream, requirements.processing_times, wait_state, len(local)
+                    upstream, requirements.processing_times, wait_state, local_count
                 )
                 candidates.wait_cost_ms = min(candidates.wait_cost_ms, cost_ms)
         return candidates
 
+    def _local_count(self, service: str) -> int:
+        by_region = self.ranks.pool(service).by_region
+        return max(1, len(by_region.get(self.location.region, ())))
+
     def _is_local(self, upstream: Upstream) -> bool:
         return upstream.spec.region == self.location.region
 
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -11,8 +11,22 @@
 # Upstreams get this long to register again after a store outage.
 REREGISTRATION_GRACE_MS = 2_000
 
-SAME_REGION_HEARTBEAT_MS = 250
-OTHER_REGION_HEARTBEAT_MS = 1_000
-SAME_REGION_TIMEOUT_MS = 1_300
+# Heartbeats within a failure domain get rarer with the number of its nodes.
+MIN_HEARTBEAT_MS = 250
+MAX_HEARTBEAT_MS = 400
+HEARTBEAT_MS_PER_NODE = 16
+SAME_DOMAIN_TIMEOUT_MS = 1_300
+
+# Summaries of a failure domain, to the other ones.
+SAME_REGION_SUMMARY_MS = 250
+OTHER_REGION_SUMMARY_MS = 1_000
+# Outlasts the time in which another node takes over as the sender.
+SAME_REGION_TIMEOUT_MS = 2_500
 OTHER_REGION_TIMEOUT_MS = 3_500
+MAX_MISSED_SUMMARIES = 2
+# A node listens this long before it speaks for its domain.
+LISTEN_MS = 1_500
+# Summaries describe a node for this long after its first heartbeat.
+DETAILS_MS = 6_000
+TARGETS_WITHOUT_SUMMARY = 3
 MAX_DATAGRAM_BYTES = 60_000
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
@@ -1,4 +1,10 @@
-"""Exchange heartbeats with the other nodes over UDP."""
+"""Exchange heartbeats and summaries of failure domains over UDP.
+
+A node sends its heartbeat to the nodes of its own failure domain only. One
+node of each domain sums them up for the other domains: it sends a summary to
+one node of each, a different one each time, which passes it on in its domain.
+The bytes between domains so depend on the number of domains, not of nodes.
+"""
 
 import logging
 from collections.abc import Callable
@@ -12,12 +18,10 @@
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 
-from .const import (
-    MAX_DATAGRAM_BYTES,
-    OTHER_REGION_HEARTBEAT_MS,
-    SAME_REGION_HEARTBEAT_MS,
-)
-from .nodes import Heartbeat, PeerTable
+from .const import DETAILS_MS, LISTEN_MS, MAX_DATAGRAM_BYTES
+from .messages import DomainSummary, Heartbeat
+from .nodes import Peer, PeerTable
+from .send_schedule import SendSchedule
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -25,15 +29,19 @@
 
 
 class HeartbeatTask:
-    """Send and receive heartbeats on one UDP socket."""
+    """Send and receive heartbeats and summaries on one UDP socket."""
 
     __slots__ = (
         "clock",
+        "decoder",
         "greenlets",
         "make_heartbeat",
         "on_heartbeat",
+        "on_summary",
         "peers",
+        "schedule",
         "sock",
+        "started_at_ms",
     )
 
     def __init__(
@@ -42,16 +50,22 @@
         clock: Clock,
         make_heartbeat: Callable[[], Heartbeat],
         on_heartbeat: Callable[[Heartbeat], None],
+        on_summary: Callable[[DomainSummary], None],
     ) -> None:
         self.peers = peers
         self.clock = clock
         self.make_heartbeat = make_heartbeat
         self.on_heartbeat = on_heartbeat
+        self.on_summary = on_summary
+        self.schedule = SendSchedule(peers)
+        self.decoder = msgspec.msgpack.Decoder(Heartbeat | DomainSummary)
+        self.started_at_ms = 0
         self.sock: Any = None
         self.greenlets: list[Greenlet] = []
 
     def start(self) -> None:
         """Bind the socket and start both greenlets."""
+        self.started_at_ms = self.clock.now_ms()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.sock.bind(split_address(self.peers.own.peer_address))
         self.greenlets = [gevent.spawn(self.receive_loop), gevent.spawn(self.send_loop)]
@@ -65,12 +79,11 @@
             self.sock = None
 
     def receive_loop(self) -> None:
-        """Receive heartbeats until closed."""
-        decoder = msgspec.msgpack.Decoder(Heartbeat)
+        """Receive datagrams until closed."""
         while True:
             try:
                 data = self.sock.recv(MAX_DATAGRAM_BYTES)
-                heartbeat = decoder.decode(data)
+                message = self.decoder.decode(data)
             except OSError as error:
                 _LOGGER.warning("heartbeats: Could not receive: %s.", error)
                 gevent.sleep(LOOP_PAUSE_MS / MS_PER_SECOND)
@@ -78,37 +91,64 @@
             except msgspec.MsgspecError as error:
                 _LOGGER.warning("heartbeats: Could not decode a datagram: %s.", error)
                 continue
-            if self.peers.on_heartbeat(heartbeat, self.clock.now_ms()):
-                self.on_heartbeat(heartbeat)
+            if isinstance(message, Heartbeat):
+                self.receive_heartbeat(message)
+            else:
+                self.receive_summary(message)
+
+    def receive_heartbeat(self, heartbeat: Heartbeat) -> None:
+        """Apply a heartbeat; tell other domains at once of a changed state."""
+        known = self.peers.peers.get(heartbeat.node.name)
+        was_ready = known is not None and known.ready
+        if not self.peers.on_heartbeat(heartbeat, self.clock.now_ms()):
+            return
+        self.on_heartbeat(heartbeat)
+        if heartbeat.ready != was_ready:
+            self.schedule.send_summaries_now()
+
+    def receive_summary(self, summary: DomainSummary) -> None:
+        """Apply another domain's summary, and pass it on in this domain."""
+        if not self.peers.on_summary(summary, self.clock.now_ms()):
+            return
+        if not summary.is_relayed:
+            relayed = msgspec.structs.replace(summary, is_relayed=True)
+            data = msgspec.msgpack.encode(relayed)
+            for peer in self.schedule.domain_peers():
+                self._send_to(peer, data)
+        self.on_summary(summary)
 
     def send_loop(self) -> None:
-        """Send to each peer at its own interval until closed."""
+        """Send what is due until closed."""
         while True:
             self.send_due(self.clock.now_ms())
             gevent.sleep(LOOP_PAUSE_MS / MS_PER_SECOND)
 
     def send_now(self) -> None:
-        """Send to all peers now, such as after a change of readiness."""
-        for peer in self.peers.peers.values():
-            peer.next_send_ms = 0
+        """Send to all now, such as after a change of readiness."""
+        self.schedule.send_all_now()
         self.send_due(self.clock.now_ms())
 
     def send_due(self, now_ms: int) -> None:
-        """Send to the peers that are due."""
-        due = [p for p in self.peers.peers.values() if now_ms >= p.next_send_ms]
-        if not due:
+        """Send the heartbeat and the summaries that are due."""
+        if self.schedule.take_heartbeat(now_ms):
+            data = msgspec.msgpack.encode(self.make_heartbeat())
+            for peer in self.schedule.domain_peers():
+                self._send_to(peer, data)
+        age_ms = now_ms - self.started_at_ms
+        if age_ms < LISTEN_MS:
+            return
+        targets = self.schedule.take_summary_targets(now_ms)
+        if not targets:
             return
-        data = msgspec.msgpack.encode(self.make_heartbeat())
-        for peer in due:
-            is_in_own_region = self.peers.is_in_own_region(peer.info)
-            peer.next_send_ms = now_ms + (
-                SAME_REGION_HEARTBEAT_MS
-                if is_in_own_region
-                else OTHER_REGION_HEARTBEAT_MS
-            )
-            self._send_to(peer.info.peer_address, data)
-
-    def _send_to(self, address: str, data: bytes) -> None:
+        summary = self.peers.summarize(
+            self.make_heartbeat(), age_ms < DETAILS_MS, now_ms
+        )
+        data = msgspec.msgpack.encode(summary)
+        for peer in targets:
+            self._send_to(peer, data)
+
+    def _send_to(self, peer: Peer, data: bytes) -> None:
+        address = peer.info.peer_address
         try:
             self.sock.sendto(data, split_address(address))
         except OSError as error:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
@@ -1,68 +1,67 @@
-"""Track the other nodes through the store and their heartbeats."""
+"""Track the other nodes through the store, heartbeats and summaries."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
-import msgspec
+from bilberry_core.ids import rendezvous_order
 
-from bilberry_balance.quarantine import SuspectReport
+from .const import (
+    DETAILS_MS,
+    MAX_MISSED_SUMMARIES,
+    OTHER_REGION_TIMEOUT_MS,
+    SAME_DOMAIN_TIMEOUT_MS,
+    SAME_REGION_TIMEOUT_MS,
+)
+from .messages import DomainSummary, Heartbeat, NodeInfo
 
-from .const import OTHER_REGION_TIMEOUT_MS, SAME_REGION_TIMEOUT_MS
 
+@dataclass(slots=True)
+class Peer:
+    """Store what is known about another node; times in monotonic ms.
 
-class NodeInfo(msgspec.Struct, frozen=True):
-    """Describe one run of a node; each start gets a new `run_id`."""
-
-    name: str
-    run_id: str
-    entry_address: str
-    peer_address: str
-    failure_domain: str
-    region: str
-
-
-class Heartbeat(msgspec.Struct, array_like=True):
-    """Represent a node's state, sent to its peers in one datagram.
-
-    `in_flight` maps each upstream to the node's requests there, without the
-    zeros; `suspects` lists the requests suspected of crashing upstreams.
+    `last_seen_ms` is when it last sent a heartbeat or was in a summary, and
+    `missed_summaries` counts its domain's summaries without it since then.
     """
 
-    node: NodeInfo
-    sequence: int
-    ready: bool
-    config_version: int
-    in_flight: dict[str, int]
-    suspects: list[SuspectReport] = []
+    info: NodeInfo
+    last_seen_ms: int | None = None
+    first_heartbeat_ms: int | None = None
+    sequence: int = 0
+    missed_summaries: int = 0
+    ready: bool = False
+    in_flight: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
-class Peer:
-    """Store what is known about another node; times in monotonic ms."""
+class SummarySource:
+    """Store who sent a domain's latest summary, and its sequence."""
 
-    info: NodeInfo
-    last_heartbeat_ms: int | None = None
-    sequence: int = 0
-    ready: bool = False
-    next_send_ms: int = 0
+    run_id: str
+    sequence: int
 
 
 @dataclass(slots=True)
 class PeerTable:
-    """Track the other nodes and whether they are alive."""
+    """Track the other nodes and whether they are alive.
+
+    Nodes of the own failure domain send heartbeats; those of other domains
+    are known from summaries.
+    """
 
     own: NodeInfo
     peers: dict[str, Peer] = field(default_factory=dict)
     ended_runs: set[str] = field(default_factory=set)
+    summaries: dict[str, SummarySource] = field(default_factory=dict)
 
     def on_stored_nodes(self, infos: list[NodeInfo], now_ms: int) -> None:
         """Apply the nodes listed in the store, except to live peers."""
         for info in infos:
             known = self.peers.get(info.name)
-            if known is None or not self._is_alive(known, now_ms):
+            if known is None or not self.is_alive(known, now_ms):
                 self._get_or_add(info)
         listed = {info.name for info in infos}
         for name, peer in list(self.peers.items()):
-            if name not in listed and not self._is_alive(peer, now_ms):
+            if name not in listed and not self.is_alive(peer, now_ms):
                 del self.peers[name]
 
     def on_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> bool:
@@ -70,28 +69,111 @@
         peer = self._get_or_add(heartbeat.node)
         if peer is None or heartbeat.sequence <= peer.sequence:
             return False
-        peer.last_heartbeat_ms = now_ms
+        if peer.first_heartbeat_ms is None:
+            peer.first_heartbeat_ms = now_ms
+        peer.last_seen_ms = now_ms
         peer.sequence = heartbeat.sequence
         peer.ready = heartbeat.ready
+        peer.in_flight = heartbeat.in_flight
+        return True
+
+    def on_summary(self, summary: DomainSummary, now_ms: int) -> bool:
+        """Apply another domain's summary; return False for an outdated one."""
+        if summary.failure_domain == self.own.failure_domain:
+            return False
+        if not self._accept_summary(summary):
+            return False
+        for info in summary.details:
+            self._get_or_add(info)
+        for names, ready in ((summary.ready, True), (summary.not_ready, False)):
+            for name in names:
+                peer = self.peers.get(name)
+                if peer is not None:
+                    peer.last_seen_ms = now_ms
+                    peer.missed_summaries = 0
+                    peer.ready = ready
+        self._count_missing(summary)
         return True
 
+    def summarize(self, own: Heartbeat, is_new: bool, now_ms: int) -> DomainSummary:
+        """Return the summary of this node's failure domain.
+
+        With `is_new` this node started recently.
+        """
+        names: dict[bool, list[str]] = {True: [], False: []}
+        names[own.ready].append(self.own.name)
+        in_flight = Counter(own.in_flight)
+        details = [self.own] if is_new else []
+        for peer in self.domain_peers(now_ms):
+            names[peer.ready].append(peer.info.name)
+            in_flight.update(peer.in_flight)
+            if now_ms - (peer.first_heartbeat_ms or 0) < DETAILS_MS:
+                details.append(peer.info)
+        return DomainSummary(
+            self.own.name,
+            self.own.run_id,
+            own.sequence,
+            self.own.failure_domain,
+            names[True],
+            names[False],
+            details,
+            dict(in_flight),
+            own.suspects,
+        )
+
+    def is_summary_sender(self, now_ms: int) -> bool:
+        """Return whether this node sends its domain's summaries."""
+        names = [peer.info.name for peer in self.domain_peers(now_ms)]
+        domain = self.own.failure_domain
+        return rendezvous_order(domain, [*names, self.own.name])[0] == self.own.name
+
     def alive(self, now_ms: int) -> list[Peer]:
-        """Return the peers whose last heartbeat is recent."""
-        return [peer for peer in self.peers.values() if self._is_alive(peer, now_ms)]
+        """Return the peers that were seen recently."""
+        return [peer for peer in self.peers.values() if self.is_alive(peer, now_ms)]
+
+    def domain_peers(self, now_ms: int) -> list[Peer]:
+        """Return the live peers of the own failure domain."""
+        return [peer for peer in self.alive(now_ms) if self.is_in_own_domain(peer.info)]
 
     def is_in_own_region(self, info: NodeInfo) -> bool:
         """Return whether a node is in this node's region."""
         return info.region == self.own.region
 
-    def _is_alive(self, peer: Peer, now_ms: int) -> bool:
-        if peer.last_heartbeat_ms is None:
+    def is_in_own_domain(self, info: NodeInfo) -> bool:
+        """Return whether a node is in this node's failure domain."""
+        return info.failure_domain == self.own.failure_domain
+
+    def _accept_summary(self, summary: DomainSummary) -> bool:
+        known = self.summaries.get(summary.failure_domain)
+        is_same_run = known is not None and known.run_id == summary.run_id
+        if known is not None and is_same_run and summary.sequence <= known.sequence:
             return False
-        timeout_ms = (
-            SAME_REGION_TIMEOUT_MS
-            if self.is_in_own_region(peer.info)
-            else OTHER_REGION_TIMEOUT_MS
-        )
-        return now_ms - peer.last_heartbeat_ms < timeout_ms
+        source = SummarySource(summary.run_id, summary.sequence)
+        self.summaries[summary.failure_domain] = source
+        return True
+
+    def _count_missing(self, summary: DomainSummary) -> None:
+        """Drop nodes that several summaries of their domain didn't name."""
+        named = {*summary.ready, *summary.not_ready}
+        for name, peer in self.peers.items():
+            if peer.info.failure_domain != summary.failure_domain or name in named:
+                continue
+            peer.missed_summaries += 1
+            if peer.missed_summaries >= MAX_MISSED_SUMMARIES:
+                peer.last_seen_ms = None
+
+    def is_alive(self, peer: Peer, now_ms: int) -> bool:
+        """Return whether a peer was seen recently."""
+        if peer.last_seen_ms is None:
+            return False
+        return now_ms - peer.last_seen_ms < self._timeout_ms(peer.info)
+
+    def _timeout_ms(self, info: NodeInfo) -> int:
+        if self.is_in_own_domain(info):
+            return SAME_DOMAIN_TIMEOUT_MS
+        if self.is_in_own_region(info):
+            return SAME_REGION_TIMEOUT_MS
+        return OTHER_REGION_TIMEOUT_MS
 
     def _get_or_add(self, info: NodeInfo) -> Peer | None:
         """Return the peer's state; a new run replaces the previous one."""
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/send_schedule.py
@@ -0,0 +1,86 @@
+"""Decide when a node sends heartbeats and summaries, and to whom."""
+
+from dataclasses import dataclass, field
+
+from .const import (
+    HEARTBEAT_MS_PER_NODE,
+    MAX_HEARTBEAT_MS,
+    MIN_HEARTBEAT_MS,
+    OTHER_REGION_SUMMARY_MS,
+    SAME_REGION_SUMMARY_MS,
+    TARGETS_WITHOUT_SUMMARY,
+)
+from .nodes import Peer, PeerTable
+
+
+@dataclass(slots=True)
+class SendSchedule:
+    """Store when each kind of message is due; times in monotonic ms.
+
+    Summaries to a domain go to its nodes in turns.
+    """
+
+    peers: PeerTable
+    next_heartbeat_ms: int = 0
+    next_summary_ms: dict[str, int] = field(default_factory=dict)
+    turns: dict[str, int] = field(default_factory=dict)
+
+    def domain_peers(self) -> list[Peer]:
+        """Return all known nodes of the own domain, alive or not."""
+        peers = self.peers
+        return [p for p in peers.peers.values() if peers.is_in_own_domain(p.info)]
+
+    def take_heartbeat(self, now_ms: int) -> bool:
+        """Return whether a heartbeat is due, and schedule the next one."""
+        if now_ms < self.next_heartbeat_ms:
+            return False
+        wanted_ms = HEARTBEAT_MS_PER_NODE * len(self.domain_peers())
+        interval_ms = min(max(wanted_ms, MIN_HEARTBEAT_MS), MAX_HEARTBEAT_MS)
+        self.next_heartbeat_ms = now_ms + interval_ms
+        return True
+
+    def take_summary_targets(self, now_ms: int) -> list[Peer]:
+        """Return where summaries are due, and schedule the next ones.
+
+        Return nothing while another node speaks for this domain.
+        """
+        others = self._peers_by_domain()
+        due = [d for d in others if now_ms >= self.next_summary_ms.get(d, 0)]
+        if not due or not self.peers.is_summary_sender(now_ms):
+            return []
+        targets = []
+        for domain in due:
+            members = others[domain]
+            is_near = self.peers.is_in_own_region(members[0].info)
+            interval_ms = SAME_REGION_SUMMARY_MS if is_near else OTHER_REGION_SUMMARY_MS
+            self.next_summary_ms[domain] = now_ms + interval_ms
+            targets += self._next_targets(domain, members, now_ms)
+        return targets
+
+    def send_summaries_now(self) -> None:
+        """Make the summaries to all domains due."""
+        self.next_summary_ms.clear()
+
+    def send_all_now(self) -> None:
+        """Make the heartbeat and all summaries due."""
+        self.next_heartbeat_ms = 0
+        self.send_summaries_now()
+
+    def _peers_by_domain(self) -> dict[str, list[Peer]]:
+        found: dict[str, list[Peer]] = {}
+        for peer in self.peers.peers.values():
+            if not self.peers.is_in_own_domain(peer.info):
+                found.setdefault(peer.info.failure_domain, []).append(peer)
+        return found
+
+    def _next_targets(
+        self, domain: str, members: list[Peer], now_ms: int
+    ) -> list[Peer]:
+        """Return the next live node of a domain, or some if none is known."""
+        alive = [peer for peer in members if self.peers.is_alive(peer, now_ms)]
+        count = 1 if alive else TARGETS_WITHOUT_SUMMARY
+        candidates = alive or members
+        turn = self.turns.get(domain, 0)
+        self.turns[domain] = turn + count
+        size = len(candidates)
+        return [candidates[(turn + i) % size] for i in range(min(count, size))]
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -46,6 +46,7 @@
         "kept_until_ms",
         "on_change",
         "outage_seen",
+        "pool_changed",
         "pools",
         "store_recovered_at_ms",
     )
@@ -61,6 +62,7 @@
         self.decode = decode
         self.clock = clock
         self.on_change = on_change
+        self.pool_changed = False
         self.pools: dict[str, PoolConfig] = {}
         self.has_snapshot = False
         self.outage_seen = False
@@ -77,7 +79,7 @@
         for name in [n for n in self.directory.by_name if n not in present]:
             self._handle_missing(name)
         self.has_snapshot = True
-        self.on_change()
+        self._report_change()
 
     def on_changes(self, changes: Changes) -> None:
         """Apply a batch of changes to the directory."""
@@ -85,7 +87,7 @@
         for change in changes.changes:
             if change.deleted or not self._put(change.record):
                 self._handle_missing(change.record.name)
-        self.on_change()
+        self._report_change()
 
     def on_outage(self) -> None:
         """Record that the store cannot be read at present."""
@@ -97,7 +99,12 @@
         for name in expired:
             del self.kept_until_ms[name]
             self._remove(name, "did not register again")
-        if expired:
+        self._report_change()
+
+    def _report_change(self) -> None:
+        """Call `on_change` if upstreams were added, replaced or removed."""
+        if self.pool_changed:
+            self.pool_changed = False
             self.on_change()
 
     def _record_recovery(self) -> None:
@@ -128,6 +135,8 @@
                 entry.draining,
                 entry.cold_left_ms,
             )
+        if previous is None or previous.spec != entry.spec:
+            self.pool_changed = True
         upstream = self.directory.put(entry.spec, entry.draining)
         pool = self.pools.get(entry.spec.service)
         cold_per_s = pool.cold_requests_per_s if pool else 0.0
@@ -151,4 +160,5 @@
 
     def _remove(self, name: str, reason: str) -> None:
         if self.directory.remove(name) is not None:
+            self.pool_changed = True
             _LOGGER.info("discovery: Removed upstream %s: %s.", name, reason)
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -11,7 +11,8 @@
 from bilberry_core.outcome import Failure
 from bilberry_fleet.discovery.const import RETRY_BASE_MS, RETRY_MAX_MS
 from bilberry_fleet.discovery.heartbeats import HeartbeatTask
-from bilberry_fleet.discovery.nodes import Heartbeat, NodeInfo, PeerTable
+from bilberry_fleet.discovery.messages import DomainSummary, Heartbeat, NodeInfo
+from bilberry_fleet.discovery.nodes import PeerTable
 from bilberry_fleet.discovery.source import Changes, Record, Snapshot
 from bilberry_steering.nearest import NodeLocation
 from bilberry_store.backoff import Backoff
@@ -55,7 +56,11 @@
         self.leaving = False
         self.task: Greenlet | None = None
         self.heartbeats = HeartbeatTask(
-            self.peers, state.clock, self.make_heartbeat, self.on_heartbeat
+            self.peers,
+            state.clock,
+            self.make_heartbeat,
+            self.on_heartbeat,
+            self.on_summary,
         )
 
     def start(self) -> None:
@@ -130,6 +135,12 @@
         self.state.crash_detector.merge(heartbeat.suspects, now_ms)
         self.update_node_count()
 
+    def on_summary(self, summary: DomainSummary) -> None:
+        """Merge another failure domain's load and suspected requests."""
+        now_ms = self.state.clock.now_ms()
+        self.state.peer_loads.update(summary.failure_domain, summary.in_flight, now_ms)
+        self.state.crash_detector.merge(summary.suspects, now_ms)
+
     def update_node_count(self) -> None:
         """Divide the shared limits by the number of known nodes."""
         self.state.set_known_nodes(len(self.peers.peers) + 1)
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -182,11 +182,11 @@
         "bilberry_peers_alive", "Other nodes heard of in time.", len(alive)
     )
     for peer in peers.peers.values():
-        if peer.last_heartbeat_ms is not None:
+        if peer.last_seen_ms is not None:
             metrics.set_gauge(
                 "bilberry_peer_age_ms",
-                "Time since the last heartbeat of a node.",
-                now_ms - peer.last_heartbeat_ms,
+                "Time since a node was last heard of.",
+                now_ms - peer.last_seen_ms,
                 node=peer.info.name,
             )
 
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -12,7 +12,7 @@
 from bilberry_core.ids import stable_hash
 from bilberry_fleet.discovery.config import ConfigListener, NamesListener
 from bilberry_fleet.discovery.feed import Feed, FeedListener
-from bilberry_fleet.discovery.nodes import NodeInfo
+from bilberry_fleet.discovery.messages import NodeInfo
 from bilberry_fleet.discovery.upstreams import UpstreamListener
 from bilberry_resources.routing import CallerLimits, RoutingConfig
 
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -253,7 +253,7 @@
             cold_per_s = state.pool(requirements.service).cold_requests_per_s
             state.cold_rate_limiter.schedule_next(upstream, cold_per_s, now_ms)
         if requirements.key:
-            upstream.record_key(requirements.key, now_ms)
+            state.selector.record_key(upstream, requirements.key, now_ms)
 
     def release(self, upstream: Upstream) -> None:
         """Release the slot of a request that has ended."""
--- a/packages/bilberry_router/src/bilberry_router/entry/platform.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/platform.py
@@ -6,7 +6,7 @@
 
 from bilberry_core.outcome import Result
 from bilberry_fleet.discovery.config import ConfigDecoder
-from bilberry_fleet.discovery.nodes import NodeInfo
+from bilberry_fleet.discovery.messages import NodeInfo
 from bilberry_fleet.discovery.source import ObjectSource, Record
 from bilberry_fleet.discovery.upstreams import UpstreamDecoder
 from bilberry_store.errors import StoreError
--- a/tests/bilberry_fleet/discovery/test_nodes.py
+++ b/tests/bilberry_fleet/discovery/test_nodes.py
@@ -2,9 +2,10 @@
 
 from bilberry_fleet.discovery.const import (
     OTHER_REGION_TIMEOUT_MS,
-    SAME_REGION_TIMEOUT_MS,
+    SAME_DOMAIN_TIMEOUT_MS,
 )
-from bilberry_fleet.discovery.nodes import Heartbeat, NodeInfo, PeerTable
+from bilberry_fleet.discovery.messages import Heartbeat, NodeInfo
+from bilberry_fleet.discovery.nodes import PeerTable
 
 
 def info(name, run="1", region="mtl"):
@@ -28,11 +29,11 @@
     assert alive(peers, 100) == ["n2"]
 
 
-def test_a_silent_node_in_the_own_region_is_dropped_sooner():
+def test_a_silent_node_in_the_own_domain_is_dropped_sooner():
     peers = PeerTable(info("me"))
     peers.on_heartbeat(beat("near", 1), 0)
     peers.on_heartbeat(beat("far", 1, region="qc"), 0)
-    assert alive(peers, SAME_REGION_TIMEOUT_MS) == ["far"]
+    assert alive(peers, SAME_DOMAIN_TIMEOUT_MS) == ["far"]
     assert alive(peers, OTHER_REGION_TIMEOUT_MS) == []
 
 
@@ -63,5 +64,5 @@
     peers.on_heartbeat(beat("n2", 1), 0)
     peers.on_stored_nodes([], 100)
     assert "n2" in peers.peers
-    peers.on_stored_nodes([], SAME_REGION_TIMEOUT_MS)
+    peers.on_stored_nodes([], SAME_DOMAIN_TIMEOUT_MS)
     assert "n2" not in peers.peers
