Read the store with cheap watches, and let peers tell who is behind

Answers that began before newer changes were applied are dropped. Lists stay exact, so that nothing of the past returns with a start.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -1,6 +1,9 @@
 """Constants of discovery."""
 
-WATCH_WAIT_MS = 3_000
+WATCH_WAIT_MS = 8_000
+# A feed that peers know to be behind reads again after this time.
+CATCH_UP_AFTER_MS = 600
+CATCH_UP_WAIT_MS = 1
 WATCH_MARGIN_MS = 700
 LIST_TIMEOUT_MS = 1_500
 WRITE_TIMEOUT_MS = 1_500
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -13,7 +14,14 @@
 from bilberry_store.backoff import Backoff
 from bilberry_store.errors import StoreError, StoreErrorKind
 
-from .const import BATCH_PAUSE_MS, RETRY_BASE_MS, RETRY_MAX_MS, WATCH_WAIT_MS
+from .const import (
+    BATCH_PAUSE_MS,
+    CATCH_UP_AFTER_MS,
+    CATCH_UP_WAIT_MS,
+    RETRY_BASE_MS,
+    RETRY_MAX_MS,
+    WATCH_WAIT_MS,
+)
 from .source import Changes, ObjectSource, Snapshot
 
 _LOGGER = logging.getLogger(__name__)
@@ -39,16 +47,28 @@
 
 
 class Feed:
-    """List a kind, then watch it; list again when its history is gone."""
+    """List a kind, then watch it; list again when its history is gone.
+
+    While `may_be_stale` returns True, watches are cheap ones that may miss
+    the latest changes. Peers tell the revision of the latest change that
+    they know; a feed that stays behind it makes one exact read. Lists are
+    always exact, so that nothing of the past returns with a start.
+    """
 
     __slots__ = (
         "backoff",
+        "behind_since_ms",
         "calls",
+        "catch_up_greenlet",
         "clock",
+        "event_revision",
         "greenlet",
         "kind",
         "last_answer_ms",
         "listener",
+        "may_be_stale",
+        "peers_revision",
+        "revision",
         "source",
     )
 
@@ -59,8 +79,15 @@
         listener: FeedListener,
         clock: Clock,
         seed: int,
+        may_be_stale: Callable[[], bool],
     ) -> None:
         self.clock = clock
+        self.may_be_stale = may_be_stale
+        self.revision = 0
+        self.event_revision = 0
+        self.peers_revision = 0
+        self.behind_since_ms: int | None = None
+        self.catch_up_greenlet: Greenlet | None = None
         self.last_answer_ms: int | None = None
         self.calls: Counter[str] = Counter()
         self.kind = kind
@@ -74,10 +101,12 @@
         self.greenlet = gevent.spawn(self.run)
 
     def close(self) -> None:
-        """Stop the greenlet."""
-        if self.greenlet is not None:
-            self.greenlet.kill()
-            self.greenlet = None
+        """Stop the greenlets."""
+        for greenlet in (self.greenlet, self.catch_up_greenlet):
+            if greenlet is not None:
+                greenlet.kill()
+        self.greenlet = None
+        self.catch_up_greenlet = None
 
     def run(self) -> None:
         """List and watch the kind until closed."""
@@ -88,13 +117,17 @@
                 continue
             snapshot = listed.unwrap()
             self.record_answer()
+            self.revision = snapshot.revision
             self.listener.on_snapshot(snapshot)
-            self.follow(snapshot.revision)
+            self.follow()
 
-    def follow(self, revision: int) -> None:
-        """Watch from `revision` until the store drops that history."""
+    def follow(self) -> None:
+        """Watch until the store drops the history."""
         while True:
-            watched = self.source.watch(self.kind, revision, WATCH_WAIT_MS)
+            revision = self.revision
+            watched = self.source.watch(
+                self.kind, revision, WATCH_WAIT_MS, self.may_be_stale()
+            )
             if isinstance(watched, Failure):
                 error = watched.failure()
                 if error.kind is StoreErrorKind.GONE:
@@ -107,11 +140,60 @@
                 continue
             changes = watched.unwrap()
             self.record_answer()
-            revision = max(revision, changes.revision)
+            self.apply(changes, revision)
             if changes.changes:
-                self.listener.on_changes(changes)
                 gevent.sleep(BATCH_PAUSE_MS / MS_PER_SECOND)
 
+    def apply(self, changes: Changes, since: int) -> None:
+        """Apply changes after `since`, unless newer ones already are."""
+        if since < self.revision:
+            return
+        self.revision = max(self.revision, changes.revision)
+        if changes.changes:
+            revisions = [change.record.revision for change in changes.changes]
+            self.event_revision = max(self.event_revision, *revisions)
+            self.listener.on_changes(changes)
+
+    def on_peers_revision(self, revision: int, now_ms: int) -> None:
+        """Record the revision of the latest change that a peer knows."""
+        self.peers_revision = max(self.peers_revision, revision)
+        if self.peers_revision <= self.revision:
+            self.behind_since_ms = None
+        elif self.behind_since_ms is None:
+            self.behind_since_ms = now_ms
+
+    def catch_up_if_behind(self, now_ms: int) -> None:
+        """Start an exact read if this feed stayed behind its peers."""
+        if self.behind_since_ms is None or self.revision == 0:
+            return
+        if self.peers_revision <= self.revision:
+            self.behind_since_ms = None
+        elif now_ms - self.behind_since_ms >= CATCH_UP_AFTER_MS:
+            self.behind_since_ms = now_ms
+            if self.catch_up_greenlet is None or self.catch_up_greenlet.ready():
+                self.catch_up_greenlet = gevent.spawn(self.catch_up)
+
+    def catch_up(self) -> None:
+        """Read the changes since the known revision, exactly and at once."""
+        revision = self.revision
+        _LOGGER.info(
+            "discovery: Behind on %s at revision %s, peers have %s.",
+            self.kind,
+            revision,
+            self.peers_revision,
+        )
+        read = self.source.watch(self.kind, revision, CATCH_UP_WAIT_MS, False)
+        if isinstance(read, Failure):
+            self.calls[read.failure().kind] += 1
+            _LOGGER.info(
+                "discovery: Could not catch up on %s: %s.",
+                self.kind,
+                read.failure().kind,
+            )
+            return
+        self.calls[CALL_ANSWERED] += 1
+        self.apply(read.unwrap(), revision)
+
     def back_off(self, error: StoreError) -> None:
         """Record a failed call and wait before the next one."""
         if self.backoff.failures == 0:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
@@ -21,6 +21,8 @@
 
     `in_flight` maps each upstream to the node's requests there, without the
     zeros; `suspects` lists the requests suspected of crashing upstreams.
+    `revisions` are those of the latest change known of each of the store's
+    kinds, in the order of the node's feeds.
     """
 
     node: NodeInfo
@@ -29,15 +31,16 @@
     config_version: int
     in_flight: dict[str, int]
     suspects: list[SuspectReport] = []
+    revisions: list[int] = []
 
 
 class DomainSummary(msgspec.Struct, array_like=True, tag="domain"):
     """Represent all live nodes of a failure domain, for the other domains.
 
     `ready` and `not_ready` name the nodes, `details` describes those that
-    started recently, and `in_flight` is the sum of their requests. The node
-    that receives it from its sender passes it on in its own domain once,
-    with `is_relayed` set.
+    started recently, `in_flight` is the sum of their requests, `revisions`
+    are the latest that any of them knows. The node that receives it from its
+    sender passes it on in its own domain once, with `is_relayed` set.
     """
 
     sender: str
@@ -49,4 +52,5 @@
     details: list[NodeInfo]
     in_flight: dict[str, int]
     suspects: list[SuspectReport] = []
+    revisions: list[int] = []
     is_relayed: bool = False
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
@@ -30,6 +30,7 @@
     missed_summaries: int = 0
     ready: bool = False
     in_flight: dict[str, int] = field(default_factory=dict)
+    revisions: list[int] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -75,6 +76,7 @@
         peer.sequence = heartbeat.sequence
         peer.ready = heartbeat.ready
         peer.in_flight = heartbeat.in_flight
+        peer.revisions = heartbeat.revisions
         return True
 
     def on_summary(self, summary: DomainSummary, now_ms: int) -> bool:
@@ -103,10 +105,13 @@
         names: dict[bool, list[str]] = {True: [], False: []}
         names[own.ready].append(self.own.name)
         in_flight = Counter(own.in_flight)
+        revisions = own.revisions
         details = [self.own] if is_new else []
         for peer in self.domain_peers(now_ms):
             names[peer.ready].append(peer.info.name)
             in_flight.update(peer.in_flight)
+            pairs = zip(revisions, peer.revisions, strict=False)
+            revisions = [max(pair) for pair in pairs] or revisions
             if now_ms - (peer.first_heartbeat_ms or 0) < DETAILS_MS:
                 details.append(peer.info)
         return DomainSummary(
@@ -119,10 +124,14 @@
             details,
             dict(in_flight),
             own.suspects,
+            revisions,
         )
 
-    def is_summary_sender(self, now_ms: int) -> bool:
-        """Return whether this node sends its domain's summaries."""
+    def leads_domain(self, now_ms: int) -> bool:
+        """Return whether this node is the first of its live domain.
+
+        It sends the domain's summaries, and reads the store exactly.
+        """
         names = [peer.info.name for peer in self.domain_peers(now_ms)]
         domain = self.own.failure_domain
         return rendezvous_order(domain, [*names, self.own.name])[0] == self.own.name
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/send_schedule.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/send_schedule.py
@@ -46,7 +46,7 @@
         """
         others = self._peers_by_domain()
         due = [d for d in others if now_ms >= self.next_summary_ms.get(d, 0)]
-        if not due or not self.peers.is_summary_sender(now_ms):
+        if not due or not self.peers.leads_domain(now_ms):
             return []
         targets = []
         for domain in due:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/source.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/source.py
@@ -48,7 +48,10 @@
         ...
 
     def watch(
-        self, kind: str, revision: int, wait_ms: int
+        self, kind: str, revision: int, wait_ms: int, may_be_stale: bool
     ) -> Result[Changes, StoreError]:
-        """Return the changes after `revision`; wait up to `wait_ms`."""
+        """Return the changes after `revision`; wait up to `wait_ms`.
+
+        With `may_be_stale` it costs less, and may miss the latest changes.
+        """
         ...
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -10,6 +10,7 @@
 from bilberry_core.ids import stable_hash
 from bilberry_core.outcome import Failure
 from bilberry_fleet.discovery.const import RETRY_BASE_MS, RETRY_MAX_MS
+from bilberry_fleet.discovery.feed import Feed
 from bilberry_fleet.discovery.heartbeats import HeartbeatTask
 from bilberry_fleet.discovery.messages import DomainSummary, Heartbeat, NodeInfo
 from bilberry_fleet.discovery.nodes import PeerTable
@@ -27,6 +28,7 @@
     """Manage this node's entry in the store and its list of peers."""
 
     __slots__ = (
+        "feeds",
         "heartbeat_number",
         "heartbeats",
         "is_ready",
@@ -50,6 +52,7 @@
         self.platform = platform
         self.state = state
         self.is_ready = is_ready
+        self.feeds: list[Feed] = []
         self.peers = PeerTable(node_info)
         self.records: dict[str, NodeInfo] = {}
         self.heartbeat_number = 0
@@ -125,6 +128,7 @@
             config.version if config else 0,
             self.state.in_flight(),
             self.state.crash_detector.reports(self.state.clock.now_ms()),
+            [feed.event_revision for feed in self.feeds],
         )
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -133,6 +137,7 @@
         now_ms = self.state.clock.now_ms()
         self.state.peer_loads.update(name, heartbeat.in_flight, now_ms)
         self.state.crash_detector.merge(heartbeat.suspects, now_ms)
+        self.merge_revisions(heartbeat.revisions, now_ms)
         self.update_node_count()
 
     def on_summary(self, summary: DomainSummary) -> None:
@@ -140,6 +145,16 @@
         now_ms = self.state.clock.now_ms()
         self.state.peer_loads.update(summary.failure_domain, summary.in_flight, now_ms)
         self.state.crash_detector.merge(summary.suspects, now_ms)
+        self.merge_revisions(summary.revisions, now_ms)
+
+    def merge_revisions(self, revisions: list[int], now_ms: int) -> None:
+        """Tell the feeds which changes peers know."""
+        for feed, revision in zip(self.feeds, revisions, strict=False):
+            feed.on_peers_revision(revision, now_ms)
+
+    def may_read_stale(self) -> bool:
+        """Return whether another node of the domain reads exactly."""
+        return not self.peers.leads_domain(self.state.clock.now_ms())
 
     def update_node_count(self) -> None:
         """Divide the shared limits by the number of known nodes."""
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -105,6 +105,7 @@
             self.state.selector.ranks.clear,
         )
         self.feeds = self._feeds(stable_hash(name))
+        self.membership.feeds = self.feeds
         self.entry_listener = Listener(
             addresses.entry, self.forwarder, lambda: self.state.limits, clock
         )
@@ -167,6 +168,8 @@
             now_ms = self.clock.now_ms()
             self.upstream_listener.expire(now_ms)
             self.state.peer_loads.expire(now_ms)
+            for feed in self.feeds:
+                feed.catch_up_if_behind(now_ms)
 
     def install(self, config: RoutingConfig) -> bool:
         """Install a configuration if it is newer; return whether it was."""
@@ -203,7 +206,14 @@
             (kinds.nodes, self.membership),
         ]
         return [
-            Feed(kind, self.platform.source, listener, self.clock, seed + index)
+            Feed(
+                kind,
+                self.platform.source,
+                listener,
+                self.clock,
+                seed + index,
+                self.membership.may_read_stale,
+            )
             for index, (kind, listener) in enumerate(listeners)
         ]
 
--- a/tests/bilberry_fleet/discovery/test_summaries.py
+++ b/tests/bilberry_fleet/discovery/test_summaries.py
@@ -175,7 +175,7 @@
     sender = next(
         name
         for name, node in network.nodes.items()
-        if node.info.failure_domain == "d0" and node.peers.is_summary_sender(now_ms)
+        if node.info.failure_domain == "d0" and node.peers.leads_domain(now_ms)
     )
     if faulty == "kill":
         network.kill(sender)
