--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -140,19 +140,23 @@
                 continue
             changes = watched.unwrap()
             self.record_answer()
-            self.apply(changes, revision)
-            if changes.changes:
+            if self.apply(changes, revision):
                 gevent.sleep(BATCH_PAUSE_MS / MS_PER_SECOND)
 
-    def apply(self, changes: Changes, since: int) -> None:
-        """Apply changes after `since`, unless newer ones already are."""
+    def apply(self, changes: Changes, since: int) -> bool:
+        """Apply changes after `since`, unless newer ones already are.
+
+        Return whether there was anything to apply.
+        """
         if since < self.revision:
-            return
+            return False
         self.revision = max(self.revision, changes.revision)
-        if changes.changes:
-            revisions = [change.record.revision for change in changes.changes]
-            self.event_revision = max(self.event_revision, *revisions)
-            self.listener.on_changes(changes)
+        if not changes.changes:
+            return False
+        revisions = [change.record.revision for change in changes.changes]
+        self.event_revision = max(self.event_revision, *revisions)
+        self.listener.on_changes(changes)
+        return True
 
     def on_peers_revision(self, revision: int, now_ms: int) -> None:
         """Record the revision of the latest change that a peer knows."""
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/send_schedule.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/send_schedule.py
@@ -21,6 +21,7 @@
     """
 
     peers: PeerTable
+    leads_domain: bool = False
     next_heartbeat_ms: int = 0
     next_summary_ms: dict[str, int] = field(default_factory=dict)
     turns: dict[str, int] = field(default_factory=dict)
@@ -31,9 +32,13 @@
         return [p for p in peers.peers.values() if peers.is_in_own_domain(p.info)]
 
     def take_heartbeat(self, now_ms: int) -> bool:
-        """Return whether a heartbeat is due, and schedule the next one."""
+        """Return whether a heartbeat is due, and schedule the next one.
+
+        It also checks whether this node now leads its domain.
+        """
         if now_ms < self.next_heartbeat_ms:
             return False
+        self.leads_domain = self.peers.leads_domain(now_ms)
         wanted_ms = HEARTBEAT_MS_PER_NODE * len(self.domain_peers())
         interval_ms = min(max(wanted_ms, MIN_HEARTBEAT_MS), MAX_HEARTBEAT_MS)
         self.next_heartbeat_ms = now_ms + interval_ms
@@ -44,10 +49,10 @@
 
         Return nothing while another node speaks for this domain.
         """
+        if not self.leads_domain:
+            return []
         others = self._peers_by_domain()
         due = [d for d in others if now_ms >= self.next_summary_ms.get(d, 0)]
-        if not due or not self.peers.leads_domain(now_ms):
-            return []
         targets = []
         for domain in due:
             members = others[domain]
--- /dev/null
+++ b/tests/bilberry_fleet/discovery/test_feed.py
@@ -0,0 +1,143 @@
+"""A feed follows the store, cheaply, and never goes back."""
+
+import gevent
+from gevent.event import AsyncResult
+
+from bilberry_core.clock import ManualClock
+from bilberry_core.outcome import Failure, Success
+from bilberry_fleet.discovery.const import CATCH_UP_AFTER_MS, CATCH_UP_WAIT_MS
+from bilberry_fleet.discovery.feed import Feed
+from bilberry_fleet.discovery.source import Change, Changes, Record, Snapshot
+from bilberry_store.errors import StoreError, StoreErrorKind
+
+
+class ScriptedSource:
+    """Let a test answer each call."""
+
+    def __init__(self):
+        self.calls = []
+        self.answers = []
+
+    def list(self, kind):
+        return self.wait(("list",))
+
+    def watch(self, kind, revision, wait_ms, may_be_stale):
+        return self.wait(("watch", revision, wait_ms, may_be_stale))
+
+    def wait(self, call):
+        answer = AsyncResult()
+        self.calls.append(call)
+        self.answers.append(answer)
+        return answer.get()
+
+    def answer(self, index, value):
+        self.answers[index].set(Success(value))
+        gevent.sleep(0)
+        gevent.sleep(0)
+
+
+class RecordingListener:
+    def __init__(self):
+        self.applied = []
+
+    def on_snapshot(self, snapshot):
+        self.applied.append([record.revision for record in snapshot.records])
+
+    def on_changes(self, changes):
+        self.applied.append([change.record.revision for change in changes.changes])
+
+    def on_outage(self):
+        self.applied.append("outage")
+
+
+def changes(*revisions, as_of=0):
+    found = [Change(Record(f"u{r}", r, {}), False) for r in revisions]
+    return Changes(found, as_of or max(revisions))
+
+
+class FeedRig:
+    def __init__(self, stale=True):
+        self.clock = ManualClock()
+        self.source = ScriptedSource()
+        self.listener = RecordingListener()
+        self.feed = Feed(
+            "servers", self.source, self.listener, self.clock, 1, lambda: stale
+        )
+
+    def __enter__(self):
+        self.feed.start()
+        gevent.sleep(0)
+        self.source.answer(0, Snapshot([], 10))
+        return self
+
+    def __exit__(self, *exc):
+        self.feed.close()
+
+    def tell(self, revision):
+        self.feed.on_peers_revision(revision, self.clock.now_ms())
+
+    def check(self, after_ms=0):
+        self.clock.advance(after_ms)
+        self.feed.catch_up_if_behind(self.clock.now_ms())
+        gevent.sleep(0)
+
+    @property
+    def exact_reads(self):
+        return [c for c in self.source.calls if c[2:] == (CATCH_UP_WAIT_MS, False)]
+
+
+def test_only_watches_may_be_stale():
+    with FeedRig() as rig:
+        assert rig.source.calls[0] == ("list",)
+        assert rig.source.calls[1][3] is True
+
+
+def test_the_first_node_of_a_domain_watches_exactly():
+    with FeedRig(stale=False) as rig:
+        assert rig.source.calls[1][3] is False
+
+
+def test_a_feed_that_stays_behind_its_peers_reads_exactly():
+    with FeedRig() as rig:
+        rig.tell(14)
+        rig.check()
+        assert rig.exact_reads == []
+        rig.check(CATCH_UP_AFTER_MS)
+        assert rig.exact_reads == [("watch", 10, CATCH_UP_WAIT_MS, False)]
+        rig.source.answer(2, changes(12, 14))
+        assert rig.listener.applied[-1] == [12, 14]
+        rig.check(CATCH_UP_AFTER_MS)
+        assert len(rig.exact_reads) == 1
+
+
+def test_an_older_answer_is_dropped_after_an_exact_read():
+    with FeedRig() as rig:
+        rig.tell(14)
+        rig.check()
+        rig.check(CATCH_UP_AFTER_MS)
+        rig.source.answer(2, changes(12, 14))
+        rig.source.answer(1, changes(12))
+        assert rig.listener.applied == [[], [12, 14]]
+        assert rig.source.calls[-1][1] == 14
+
+
+def test_a_feed_that_knows_as_much_reads_nothing_more():
+    with FeedRig() as rig:
+        rig.source.answer(1, changes(14))
+        rig.tell(14)
+        rig.check()
+        rig.check(CATCH_UP_AFTER_MS)
+        assert rig.exact_reads == []
+        assert rig.feed.event_revision == 14
+
+
+def test_an_exact_read_that_fails_is_made_again():
+    with FeedRig() as rig:
+        rig.tell(14)
+        rig.check()
+        rig.check(CATCH_UP_AFTER_MS)
+        lost = StoreError(kind=StoreErrorKind.UNREACHABLE, reason="lost")
+        rig.source.answers[2].set(Failure(lost))
+        gevent.sleep(0)
+        rig.check(CATCH_UP_AFTER_MS)
+        assert len(rig.exact_reads) == 2
