Make fewer exact calls to the store at a start

Until a node has listened for 1.5 s it doesn't know whether it leads its domain; it then watches cheaply, for 3 s at most, in place of exactly for 8 s. Batches of changes are read 0.3 s apart in place of 0.1 s, well within the bounds on draining (2.5 s) and configuration (2.5 s).

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -1,13 +1,15 @@
 """Constants of discovery."""
 
 WATCH_WAIT_MS = 8_000
+# Until a node knows whether it leads its domain.
+FIRST_WATCH_WAIT_MS = 3_000
 # A feed that peers know to be behind reads again after this time.
 CATCH_UP_AFTER_MS = 600
 CATCH_UP_WAIT_MS = 1
 WATCH_MARGIN_MS = 700
 LIST_TIMEOUT_MS = 1_500
 WRITE_TIMEOUT_MS = 1_500
-BATCH_PAUSE_MS = 100
+BATCH_PAUSE_MS = 300
 RETRY_BASE_MS = 100
 RETRY_MAX_MS = 800
 
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -18,6 +18,7 @@
     BATCH_PAUSE_MS,
     CATCH_UP_AFTER_MS,
     CATCH_UP_WAIT_MS,
+    FIRST_WATCH_WAIT_MS,
     RETRY_BASE_MS,
     RETRY_MAX_MS,
     WATCH_WAIT_MS,
@@ -125,8 +126,11 @@
         """Watch until the store drops the history."""
         while True:
             revision = self.revision
+            wait_ms = (
+                WATCH_WAIT_MS if self.calls[CALL_ANSWERED] > 1 else FIRST_WATCH_WAIT_MS
+            )
             watched = self.source.watch(
-                self.kind, revision, WATCH_WAIT_MS, self.may_be_stale()
+                self.kind, revision, wait_ms, self.may_be_stale()
             )
             if isinstance(watched, Failure):
                 error = watched.failure()
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -9,7 +9,11 @@
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.ids import stable_hash
 from bilberry_core.outcome import Failure
-from bilberry_fleet.discovery.const import RETRY_BASE_MS, RETRY_MAX_MS
+from bilberry_fleet.discovery.const import (
+    LISTEN_MS,
+    RETRY_BASE_MS,
+    RETRY_MAX_MS,
+)
 from bilberry_fleet.discovery.feed import Feed
 from bilberry_fleet.discovery.heartbeats import HeartbeatTask
 from bilberry_fleet.discovery.messages import DomainSummary, Heartbeat, NodeInfo
@@ -153,8 +157,14 @@
             feed.on_peers_revision(revision, now_ms)
 
     def may_read_stale(self) -> bool:
-        """Return whether another node of the domain reads exactly."""
-        return not self.peers.leads_domain(self.state.clock.now_ms())
+        """Return whether another node of the domain reads exactly.
+
+        A node that has just started doesn't know yet, and leaves it to them.
+        """
+        now_ms = self.state.clock.now_ms()
+        if now_ms - self.heartbeats.started_at_ms < LISTEN_MS:
+            return True
+        return not self.peers.leads_domain(now_ms)
 
     def update_node_count(self) -> None:
         """Divide the shared limits by the number of known nodes."""
