Answer what has arrived before a stopping node closes its listener

A draining node counted a connection as idle when its caller had sent bytes that no greenlet had read yet, and connections that waited in the accept queue were reset when the listener closed, though their requests may already have arrived.

Ruled out: a longer drain (the same moment comes at its end).

Change: `Listener.finish` waits for connections with unread data, accepts what waits in the queue, closes the listening socket and waits once more.

--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -95,6 +95,11 @@
         """Return whether a request is being read or answered."""
         return self.is_reading or bool(self.pending)
 
+    @property
+    def has_unread_data(self) -> bool:
+        """Return whether a caller has sent something that isn't read yet."""
+        return not self.is_closing and self.connection.has_unread_data()
+
     def run(self) -> None:
         """Serve requests until either side closes the connection."""
         try:
--- a/packages/bilberry_router/src/bilberry_router/entry/listener.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/listener.py
@@ -53,8 +53,11 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether any request is being read or answered."""
-        return any(connection.is_busy for connection in self.connections)
+        """Return whether any request is waiting, being read or answered."""
+        return any(
+            connection.is_busy or connection.has_unread_data
+            for connection in self.connections
+        )
 
     def start(self) -> None:
         """Start listening."""
@@ -83,6 +86,32 @@
         for connection in list(self.connections):
             connection.drain()
 
+    def finish(self, timeout_ms: int) -> bool:
+        """Answer what has arrived and accept no more; False on timeout.
+
+        Connections that callers have opened by now are still accepted, as
+        their requests may already be here.
+        """
+        end_ms = self.clock.now_ms() + timeout_ms
+        all_answered = self.wait_until_idle(timeout_ms)
+        while self.accept_waiting():
+            gevent.sleep(0)
+        self.server.close()
+        left_ms = max(0, end_ms - self.clock.now_ms())
+        return self.wait_until_idle(left_ms) and all_answered
+
+    def accept_waiting(self) -> bool:
+        """Accept one connection that is waiting; return whether there was."""
+        try:
+            accepted = self.server.do_read()
+        except OSError as error:
+            _LOGGER.warning("entry: Could not accept a connection: %s.", error)
+            return False
+        if accepted is None:
+            return False
+        self.server.do_handle(*accepted)
+        return True
+
     def wait_until_idle(self, timeout_ms: int) -> bool:
         """Wait until no request is left; return False on timeout."""
         end_ms = self.clock.now_ms() + timeout_ms
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -141,9 +141,7 @@
         gevent.sleep(serve_ms / MS_PER_SECOND)
         self.forwarder.is_refusing = True
         self.entry_listener.start_draining()
-        all_answered = self.entry_listener.wait_until_idle(
-            max(0, end_ms - self.clock.now_ms())
-        )
+        all_answered = self.entry_listener.finish(max(0, end_ms - self.clock.now_ms()))
         self.close()
         _LOGGER.info("node: Stopped, all requests answered: %s.", all_answered)
         return all_answered
--- a/packages/bilberry_router/src/bilberry_router/http/connection.py
+++ b/packages/bilberry_router/src/bilberry_router/http/connection.py
@@ -88,6 +88,13 @@
         except OSError:
             return
 
+    def has_unread_data(self) -> bool:
+        """Return whether data has arrived that was not read yet."""
+        try:
+            return bool(self.sock._sock.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     def close_if_no_data(self) -> None:
         """Shut down an idle connection unless a request has just arrived."""
         try:
