Look up peers by failure domain, count bytes by purpose and distance

Cause: each heartbeat and summary looked through all known nodes; a start logged one line for each upstream (451 on the largest deployment), before the node could serve; the metrics module needed the node's module and the other way round; nobody could tell what the bytes between nodes were.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -27,6 +28,10 @@
 
 LOOP_PAUSE_MS = 50
 
+PURPOSE_HEARTBEAT = "heartbeat"
+PURPOSE_SUMMARY = "summary"
+PURPOSE_RELAYED_SUMMARY = "relayed_summary"
+
 
 class HeartbeatTask:
     """Send and receive heartbeats and summaries on one UDP socket."""
@@ -40,6 +45,7 @@
         "on_summary",
         "peers",
         "schedule",
+        "sent_bytes",
         "sock",
         "started_at_ms",
     )
@@ -60,6 +66,7 @@
         self.schedule = SendSchedule(peers)
         self.decoder = msgspec.msgpack.Decoder(Heartbeat | DomainSummary)
         self.started_at_ms = 0
+        self.sent_bytes: Counter[str] = Counter()
         self.sock: Any = None
         self.greenlets: list[Greenlet] = []
 
@@ -113,8 +120,8 @@
         if not summary.is_relayed:
             relayed = msgspec.structs.replace(summary, is_relayed=True)
             data = msgspec.msgpack.encode(relayed)
-            for peer in self.schedule.domain_peers():
-                self._send_to(peer, data)
+            peers = self.peers.known_domain_peers()
+            self._send_to_all(peers, data, PURPOSE_RELAYED_SUMMARY)
         self.on_summary(summary)
 
     def send_loop(self) -> None:
@@ -132,8 +139,8 @@
         """Send the heartbeat and the summaries that are due."""
         if self.schedule.take_heartbeat(now_ms):
             data = msgspec.msgpack.encode(self.make_heartbeat())
-            for peer in self.schedule.domain_peers():
-                self._send_to(peer, data)
+            peers = self.peers.known_domain_peers()
+            self._send_to_all(peers, data, PURPOSE_HEARTBEAT)
         age_ms = now_ms - self.started_at_ms
         if age_ms < LISTEN_MS:
             return
@@ -144,8 +151,12 @@
             self.make_heartbeat(), age_ms < DETAILS_MS, now_ms
         )
         data = msgspec.msgpack.encode(summary)
-        for peer in targets:
+        self._send_to_all(targets, data, PURPOSE_SUMMARY)
+
+    def _send_to_all(self, peers: list[Peer], data: bytes, purpose: str) -> None:
+        for peer in peers:
             self._send_to(peer, data)
+        self.sent_bytes[purpose] += len(data) * len(peers)
 
     def _send_to(self, peer: Peer, data: bytes) -> None:
         address = peer.info.peer_address
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from bilberry_core.ids import rendezvous_order
+from bilberry_core.ids import stable_hash
 
 from .const import (
     DETAILS_MS,
@@ -21,9 +21,11 @@
 
     `last_seen_ms` is when it last sent a heartbeat or was in a summary, and
     `missed_summaries` counts its domain's summaries without it since then.
+    The live node with the lowest `rank` leads its failure domain.
     """
 
     info: NodeInfo
+    rank: tuple[int, str]
     last_seen_ms: int | None = None
     first_heartbeat_ms: int | None = None
     sequence: int = 0
@@ -51,6 +53,7 @@
 
     own: NodeInfo
     peers: dict[str, Peer] = field(default_factory=dict)
+    by_domain: dict[str, dict[str, Peer]] = field(default_factory=dict)
     ended_runs: set[str] = field(default_factory=set)
     summaries: dict[str, SummarySource] = field(default_factory=dict)
 
@@ -63,7 +66,7 @@
         listed = {info.name for info in infos}
         for name, peer in list(self.peers.items()):
             if name not in listed and not self.is_alive(peer, now_ms):
-                del self.peers[name]
+                self._remove(peer)
 
     def on_heartbeat(self, heartbeat: Heartbeat, now_ms: int) -> bool:
         """Apply a heartbeat; return False for an outdated one."""
@@ -132,9 +135,8 @@
 
         It sends the domain's summaries, and reads the store exactly.
         """
-        names = [peer.info.name for peer in self.domain_peers(now_ms)]
-        domain = self.own.failure_domain
-        return rendezvous_order(domain, [*names, self.own.name])[0] == self.own.name
+        own_rank = _rank(self.own)
+        return all(own_rank < peer.rank for peer in self.domain_peers(now_ms))
 
     def alive(self, now_ms: int) -> list[Peer]:
         """Return the peers that were seen recently."""
@@ -142,7 +144,11 @@
 
     def domain_peers(self, now_ms: int) -> list[Peer]:
         """Return the live peers of the own failure domain."""
-        return [peer for peer in self.alive(now_ms) if self.is_in_own_domain(peer.info)]
+        return [p for p in self.known_domain_peers() if self.is_alive(p, now_ms)]
+
+    def known_domain_peers(self) -> list[Peer]:
+        """Return all known peers of the own failure domain, alive or not."""
+        return list(self.by_domain.get(self.own.failure_domain, {}).values())
 
     def is_in_own_region(self, info: NodeInfo) -> bool:
         """Return whether a node is in this node's region."""
@@ -164,8 +170,8 @@
     def _count_missing(self, summary: DomainSummary) -> None:
         """Drop nodes that several summaries of their domain didn't name."""
         named = {*summary.ready, *summary.not_ready}
-        for name, peer in self.peers.items():
-            if peer.info.failure_domain != summary.failure_domain or name in named:
+        for name, peer in self.by_domain.get(summary.failure_domain, {}).items():
+            if name in named:
                 continue
             peer.missed_summaries += 1
             if peer.missed_summaries >= MAX_MISSED_SUMMARIES:
@@ -192,6 +198,16 @@
         if known is None or known.info.run_id != info.run_id:
             if known is not None:
                 self.ended_runs.add(known.info.run_id)
-            known = Peer(info)
+                self._remove(known)
+            known = Peer(info, _rank(info))
             self.peers[info.name] = known
+            self.by_domain.setdefault(info.failure_domain, {})[info.name] = known
         return known
+
+    def _remove(self, peer: Peer) -> None:
+        del self.peers[peer.info.name]
+        del self.by_domain[peer.info.failure_domain][peer.info.name]
+
+
+def _rank(info: NodeInfo) -> tuple[int, str]:
+    return stable_hash(info.failure_domain, info.name), info.name
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/send_schedule.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/send_schedule.py
@@ -26,11 +26,6 @@
     next_summary_ms: dict[str, int] = field(default_factory=dict)
     turns: dict[str, int] = field(default_factory=dict)
 
-    def domain_peers(self) -> list[Peer]:
-        """Return all known nodes of the own domain, alive or not."""
-        peers = self.peers
-        return [p for p in peers.peers.values() if peers.is_in_own_domain(p.info)]
-
     def take_heartbeat(self, now_ms: int) -> bool:
         """Return whether a heartbeat is due, and schedule the next one.
 
@@ -39,7 +34,7 @@
         if now_ms < self.next_heartbeat_ms:
             return False
         self.leads_domain = self.peers.leads_domain(now_ms)
-        wanted_ms = HEARTBEAT_MS_PER_NODE * len(self.domain_peers())
+        wanted_ms = HEARTBEAT_MS_PER_NODE * len(self.peers.known_domain_peers())
         interval_ms = min(max(wanted_ms, MIN_HEARTBEAT_MS), MAX_HEARTBEAT_MS)
         self.next_heartbeat_ms = now_ms + interval_ms
         return True
@@ -51,11 +46,14 @@
         """
         if not self.leads_domain:
             return []
-        others = self._peers_by_domain()
+        own_domain = self.peers.own.failure_domain
+        others = {
+            d: m for d, m in self.peers.by_domain.items() if m and d != own_domain
+        }
         due = [d for d in others if now_ms >= self.next_summary_ms.get(d, 0)]
         targets = []
         for domain in due:
-            members = others[domain]
+            members = list(others[domain].values())
             is_near = self.peers.is_in_own_region(members[0].info)
             interval_ms = SAME_REGION_SUMMARY_MS if is_near else OTHER_REGION_SUMMARY_MS
             self.next_summary_ms[domain] = now_ms + interval_ms
@@ -71,13 +69,6 @@
         self.next_heartbeat_ms = 0
         self.send_summaries_now()
 
-    def _peers_by_domain(self) -> dict[str, list[Peer]]:
-        found: dict[str, list[Peer]] = {}
-        for peer in self.peers.peers.values():
-            if not self.peers.is_in_own_domain(peer.info):
-                found.setdefault(peer.info.failure_domain, []).append(peer)
-        return found
-
     def _next_targets(
         self, domain: str, members: list[Peer], now_ms: int
     ) -> list[Peer]:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -78,7 +78,14 @@
                 present.add(record.name)
         for name in [n for n in self.directory.by_name if n not in present]:
             self._handle_missing(name)
-        self.has_snapshot = True
+        if not self.has_snapshot:
+            self.has_snapshot = True
+            _LOGGER.info(
+                "discovery: Found %s upstreams, %s of them draining, at revision %s.",
+                len(present),
+                sum(self.directory.by_name[name].draining for name in present),
+                snapshot.revision,
+            )
         self._report_change()
 
     def on_changes(self, changes: Changes) -> None:
@@ -122,11 +129,13 @@
         entry = decoded.unwrap()
         self.kept_until_ms.pop(record.name, None)
         previous = self.directory.by_name.get(record.name)
-        if (
+        is_changed = (
             previous is None
             or previous.spec != entry.spec
             or previous.draining != entry.draining
-        ):
+        )
+        # The first snapshot is logged as a whole.
+        if is_changed and self.has_snapshot:
             _LOGGER.info(
                 "discovery: Upstream %s of %s in %s: draining %s, cold for %s ms.",
                 record.name,
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -88,7 +88,8 @@
 class ExchangeOutcome:
     """Represent a complete answer, or the point of failure.
 
-    `is_first_use` is whether the connection carried no request before.
+    `is_first_use` is whether the connection carried no request before, and
+    `received_bytes` counts all bytes of the answer, heads included.
     """
 
     point: FailurePoint | None
@@ -96,6 +97,7 @@
     body: bytes = b""
     reason: str = ""
     is_first_use: bool = False
+    received_bytes: int = 0
 
 
 class ConnectionPool:
@@ -174,6 +176,7 @@
         received = ReceivedBytes(self)
         try:
             outcome = self._receive_answer(connection, attempt, parser, received)
+            outcome.received_bytes = received.count
         finally:
             received.release()
         if not fully_sent:
--- a/packages/bilberry_router/src/bilberry_router/entry/counts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/counts.py
@@ -35,6 +35,21 @@
     OTHER_REGION = auto()
 
 
+class Direction(StrEnum):
+    """Enumerate the directions of the traffic with upstreams."""
+
+    SENT = auto()
+    RECEIVED = auto()
+
+
+@dataclass(slots=True, frozen=True)
+class TrafficLabels:
+    """Represent the labels of bytes exchanged with upstreams."""
+
+    direction: Direction
+    distance: Distance
+
+
 @dataclass(slots=True, frozen=True)
 class AnswerLabels:
     """Represent the labels of an answer to a caller."""
@@ -76,6 +91,7 @@
     answers: Counter[AnswerLabels] = field(default_factory=Counter)
     attempts: Counter[AttemptLabels] = field(default_factory=Counter)
     placements: Counter[PlacementLabels] = field(default_factory=Counter)
+    bytes: Counter[TrafficLabels] = field(default_factory=Counter)
     histograms: dict[str, ServiceHistograms] = field(default_factory=dict)
 
     def for_service(self, service: str) -> ServiceHistograms:
@@ -96,6 +112,11 @@
         self.attempts[AttemptLabels(service, end)] += 1
         self.for_service(service).attempts.observe(took_ms)
 
+    def record_traffic(self, sent: int, received: int, distance: Distance) -> None:
+        """Count the bytes of one attempt at an upstream."""
+        self.bytes[TrafficLabels(Direction.SENT, distance)] += sent
+        self.bytes[TrafficLabels(Direction.RECEIVED, distance)] += received
+
     def record_placement(
         self, upstream: Upstream, warmth: Warmth, location: Location
     ) -> None:
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -15,7 +15,12 @@
 from .answers import draining_answer, failure_answer, forwarded_answer, refusal_answer
 from .connections import Attempt, ConnectionPool, ExchangeOutcome
 from .const import MAX_FORWARDED_TIMEOUT_MS, PROMPT_ANSWERS_PER_SAMPLE
-from .counts import END_ANSWERED, END_UPSTREAM_FAILED, NO_SERVICE
+from .counts import (
+    END_ANSWERED,
+    END_UPSTREAM_FAILED,
+    NO_SERVICE,
+    distance_between,
+)
 from .events import UPSTREAM_ANSWER_CAUSE, AttemptFailed, RequestEnded, log_event
 from .heads import encode_request
 from .messages import EntryAnswer, EntryRequest, HeaderNames, local_answer
@@ -248,7 +253,11 @@
         end = outcome.point or END_ANSWERED
         if outcome.point is None and is_server_error(outcome):
             end = END_UPSTREAM_FAILED
-        self.state.counts.record_attempt(active.service, end, took_ms)
+        counts = self.state.counts
+        counts.record_attempt(active.service, end, took_ms)
+        if attempt.sent:
+            distance = distance_between(upstream, self.state.location)
+            counts.record_traffic(len(attempt.data), outcome.received_bytes, distance)
         processing_times = self.state.processing_times(active.rule, active.service)
         self.record_crash_evidence(active, selection, outcome)
         self.outcome_recorder.record(selection, outcome, processing_times, now_ms)
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
@@ -10,15 +11,30 @@
 
 from ..http.head import RequestHead
 from .counts import ServiceHistograms
+from .listener import Listener
+from .membership import Membership
 from .messages import EntryAnswer, EntryRequest, local_answer
+from .placer import Placer
+from .state import EntryState
 
 if TYPE_CHECKING:
     from ..metric_set import MetricSet
-    from .node import EntryNode
 
 METRICS_PATH = "/metrics"
 
-MetricSource = Callable[["EntryNode", "MetricSet"], None]
+
+@dataclass(slots=True, frozen=True)
+class MetricInputs:
+    """Store the parts of a node that metrics are taken from."""
+
+    state: EntryState
+    placer: Placer
+    membership: Membership
+    entry_listener: Listener
+    is_ready: Callable[[], bool]
+
+
+MetricSource = Callable[[MetricInputs, "MetricSet"], None]
 
 METRIC_SOURCES: Registry[str, MetricSource] = Registry()
 
@@ -30,10 +46,10 @@
     takes several MB.
     """
 
-    __slots__ = ("node",)
+    __slots__ = ("inputs",)
 
-    def __init__(self, node: EntryNode) -> None:
-        self.node = node
+    def __init__(self, inputs: MetricInputs) -> None:
+        self.inputs = inputs
 
     def may_overlap(self, head: RequestHead) -> bool:
         """Return True: queries are independent of each other."""
@@ -47,15 +63,15 @@
 
         metrics = MetricSet()
         for source in METRIC_SOURCES.values():
-            source(self.node, metrics)
+            source(self.inputs, metrics)
         text = metrics.render()
         return EntryAnswer(HTTPStatus.OK, text.headers, text.content)
 
 
 @METRIC_SOURCES.register("requests")
-def add_requests(node: EntryNode, metrics: MetricSet) -> None:
+def add_requests(inputs: MetricInputs, metrics: MetricSet) -> None:
     """Add the counts of answers, attempts and placements."""
-    counts = node.state.counts
+    counts = inputs.state.counts
     for answer, number in counts.answers.items():
         metrics.set_counter(
             "bilberry_entry_answers_total",
@@ -81,6 +97,14 @@
             warmth=placement.warmth.name.lower(),
             distance=placement.distance,
         )
+    for traffic, size in counts.bytes.items():
+        metrics.set_counter(
+            "bilberry_entry_bytes_total",
+            "Bytes exchanged with upstreams, heads included.",
+            size,
+            direction=traffic.direction,
+            distance=traffic.distance,
+        )
     for service, histograms in counts.histograms.items():
         add_histograms(metrics, service, histograms)
 
@@ -110,9 +134,9 @@
 
 
 @METRIC_SOURCES.register("room")
-def add_capacity(node: EntryNode, metrics: MetricSet) -> None:
+def add_capacity(inputs: MetricInputs, metrics: MetricSet) -> None:
     """Add slots, load and queues by service, and shares of regions."""
-    state = node.state
+    state = inputs.state
     now_ms = state.clock.now_ms()
     for service in state.upstreams.pools:
         metrics.set_gauge(
@@ -130,7 +154,7 @@
         metrics.set_gauge(
             "bilberry_entry_queued",
             "Requests that wait here for room at the service.",
-            node.placer.queue_length(service),
+            inputs.placer.queue_length(service),
             service=service,
         )
     for region, share in state.region_share_limiter.shares.items():
@@ -143,9 +167,9 @@
 
 
 @METRIC_SOURCES.register("beliefs")
-def add_feeds(node: EntryNode, metrics: MetricSet) -> None:
+def add_feeds(inputs: MetricInputs, metrics: MetricSet) -> None:
     """Add the configuration version, and the age and calls of feeds."""
-    state = node.state
+    state = inputs.state
     now_ms = state.clock.now_ms()
     config = state.routes.config
     metrics.set_gauge(
@@ -153,7 +177,7 @@
         "Version of the installed configuration.",
         config.version if config else 0,
     )
-    for feed in node.feeds:
+    for feed in inputs.membership.feeds:
         if feed.last_answer_ms is not None:
             metrics.set_gauge(
                 "bilberry_feed_age_ms",
@@ -172,15 +196,22 @@
 
 
 @METRIC_SOURCES.register("peers")
-def add_peers(node: EntryNode, metrics: MetricSet) -> None:
+def add_peers(inputs: MetricInputs, metrics: MetricSet) -> None:
     """Add the known and alive peers, and the age of their heartbeats."""
-    peers = node.membership.peers
-    now_ms = node.state.clock.now_ms()
+    peers = inputs.membership.peers
+    now_ms = inputs.state.clock.now_ms()
     metrics.set_gauge("bilberry_peers_known", "Other nodes known.", len(peers.peers))
     alive = peers.alive(now_ms)
     metrics.set_gauge(
         "bilberry_peers_alive", "Other nodes heard of in time.", len(alive)
     )
+    for purpose, size in inputs.membership.heartbeats.sent_bytes.items():
+        metrics.set_counter(
+            "bilberry_peers_sent_bytes_total",
+            "Bytes of datagrams sent to other nodes.",
+            size,
+            purpose=purpose,
+        )
     for peer in peers.peers.values():
         if peer.last_seen_ms is not None:
             metrics.set_gauge(
@@ -192,13 +223,13 @@
 
 
 @METRIC_SOURCES.register("process")
-def add_process(node: EntryNode, metrics: MetricSet) -> None:
+def add_process(inputs: MetricInputs, metrics: MetricSet) -> None:
     """Add the readiness and the number of connections."""
     metrics.set_gauge(
-        "bilberry_ready", "1 while this node takes callers.", int(node.is_ready())
+        "bilberry_ready", "1 while this node takes callers.", int(inputs.is_ready())
     )
     metrics.set_gauge(
         "bilberry_connections",
         "Connections of callers.",
-        len(node.entry_listener.connections),
+        len(inputs.entry_listener.connections),
     )
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -28,7 +28,7 @@
 from .handlers import DirectoryHandler, ReadinessHandler
 from .listener import Listener
 from .membership import Membership
-from .metrics import MetricsHandler
+from .metrics import MetricInputs, MetricsHandler
 from .placer import Placer
 from .platform import Platform
 from .state import EntryState, SharedLimits
@@ -218,10 +218,17 @@
     def _auxiliary_listeners(self, addresses: NodeAddresses) -> list[Listener]:
         ready = ReadinessHandler(self.platform.ready_path, self.is_ready)
         directory = DirectoryHandler(self.platform, self.membership.entry_points)
+        metric_inputs = MetricInputs(
+            self.state,
+            self.placer,
+            self.membership,
+            self.entry_listener,
+            self.is_ready,
+        )
         handlers: list[tuple[str, Handler]] = [
             (addresses.readiness, ready),
             (addresses.directory, directory),
-            (addresses.metrics, MetricsHandler(self)),
+            (addresses.metrics, MetricsHandler(metric_inputs)),
         ]
         return [
             Listener(address, handler, CallerLimits, self.clock)
--- a/tests/bilberry_platform/test_metrics.py
+++ b/tests/bilberry_platform/test_metrics.py
@@ -34,6 +34,18 @@
         assert sum(float(line.rpartition(" ")[2]) for line in placed) == 3
 
 
+def test_bytes_are_counted_by_direction_and_distance():
+    with Deployment() as deployment:
+        node = deployment.node()
+        for _ in range(3):
+            assert fetch(node.entry_listener, "/read/x").status == 200
+        lines = read_metrics(node)
+        for direction in ("sent", "received"):
+            prefix = f'bilberry_entry_bytes_total{{direction="{direction}",'
+            counted = [x for x in lines if x.startswith(prefix)]
+            assert sum(float(x.rpartition(" ")[2]) for x in counted) > 3 * 40
+
+
 def test_a_refused_request_is_counted_as_not_run():
     with Deployment(upstreams=0) as deployment:
         node = deployment.node()
@@ -59,6 +71,17 @@
             assert 0 <= metric_value(lines, age) < 5_000
 
 
+def test_bytes_of_heartbeats_are_counted():
+    with Deployment() as deployment:
+        node = deployment.node()
+        deployment.node("n2", "mtl-a")
+        sent = node.membership.heartbeats.sent_bytes
+        eventually(lambda: sent["heartbeat"] > 0)
+        lines = read_metrics(node)
+        name = 'bilberry_peers_sent_bytes_total{purpose="heartbeat"}'
+        assert metric_value(lines, name) > 0
+
+
 def test_failed_calls_of_the_store_are_counted_by_their_reason():
     with Deployment() as deployment:
         deployment.store.faults.down_status = 503
