Share one probe of a failing store among a node's feeds

Cause: while the store turns a node away, each of its four feeds tried again by itself, and what peers told it was missing was asked for exactly each 0.6 s.

Ruled out: longer delays (the return is noticed later), asking only from the leaders of domains (each node may be turned away alone).

Change: StoreBreaker, shared by the feeds of a node, lets one call at a time probe with the delays of before; the first answer lets all go on. A store that answers, but with one kind that can't be read, holds back nothing else. Cheap watches wait 20 s in place of 8 s: peers tell what they miss, and the leaders' exact ones stay at 8 s.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -1,6 +1,8 @@
 """Constants of discovery."""
 
 WATCH_WAIT_MS = 8_000
+# Peers tell of the changes that such a watch misses.
+STALE_WATCH_WAIT_MS = 20_000
 # Until a node knows whether it leads its domain.
 FIRST_WATCH_WAIT_MS = 3_000
 # A feed that peers know to be behind reads again after this time.
@@ -12,6 +14,8 @@
 BATCH_PAUSE_MS = 300
 RETRY_BASE_MS = 100
 RETRY_MAX_MS = 800
+# Failures in a row from which the store counts as out, for all its kinds.
+OUTAGE_FAILURES = 2
 
 # Upstreams get this long to register again after a store outage.
 REREGISTRATION_GRACE_MS = 2_000
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -21,14 +21,18 @@
     FIRST_WATCH_WAIT_MS,
     RETRY_BASE_MS,
     RETRY_MAX_MS,
+    STALE_WATCH_WAIT_MS,
     WATCH_WAIT_MS,
 )
 from .source import Changes, ObjectSource, Snapshot
+from .store_breaker import StoreBreaker
 
 _LOGGER = logging.getLogger(__name__)
 
-
 CALL_ANSWERED = "answered"
+OUTAGE_KINDS = frozenset(
+    {StoreErrorKind.UNREACHABLE, StoreErrorKind.UNKNOWN, StoreErrorKind.THROTTLED}
+)
 
 
 class FeedListener(Protocol):
@@ -53,12 +57,14 @@
     While `may_be_stale` returns True, watches are cheap ones that may miss
     the latest changes. Peers tell the revision of the latest change that
     they know; a feed that stays behind it makes one exact read. Lists are
-    always exact, so that nothing of the past returns with a start.
+    always exact, so that nothing of the past returns with a start. While the
+    store fails, the node's feeds share one probe of it.
     """
 
     __slots__ = (
         "backoff",
         "behind_since_ms",
+        "breaker",
         "calls",
         "catch_up_greenlet",
         "clock",
@@ -81,9 +87,11 @@
         clock: Clock,
         seed: int,
         may_be_stale: Callable[[], bool],
+        breaker: StoreBreaker,
     ) -> None:
         self.clock = clock
         self.may_be_stale = may_be_stale
+        self.breaker = breaker
         self.revision = 0
         self.event_revision = 0
         self.peers_revision = 0
@@ -112,9 +120,10 @@
     def run(self) -> None:
         """List and watch the kind until closed."""
         while True:
+            is_probe = self.wait_for_store()
             listed = self.source.list(self.kind)
             if isinstance(listed, Failure):
-                self.back_off(listed.failure())
+                self.handle_failure(listed.failure(), is_probe)
                 continue
             snapshot = listed.unwrap()
             self.record_answer()
@@ -125,28 +134,37 @@
     def follow(self) -> None:
         """Watch until the store drops the history."""
         while True:
+            is_probe = self.wait_for_store()
             revision = self.revision
-            wait_ms = (
-                WATCH_WAIT_MS if self.calls[CALL_ANSWERED] > 1 else FIRST_WATCH_WAIT_MS
-            )
-            watched = self.source.watch(
-                self.kind, revision, wait_ms, self.may_be_stale()
-            )
+            is_stale = self.may_be_stale()
+            wait_ms = CATCH_UP_WAIT_MS if is_probe else self.watch_wait_ms(is_stale)
+            watched = self.source.watch(self.kind, revision, wait_ms, is_stale)
             if isinstance(watched, Failure):
                 error = watched.failure()
                 if error.kind is StoreErrorKind.GONE:
-                    self.calls[error.kind] += 1
-                    _LOGGER.info(
-                        "discovery: The store dropped the history of %s.", self.kind
-                    )
+                    self.handle_gone()
                     return
-                self.back_off(error)
+                self.handle_failure(error, is_probe)
                 continue
             changes = watched.unwrap()
             self.record_answer()
             if self.apply(changes, revision):
                 gevent.sleep(BATCH_PAUSE_MS / MS_PER_SECOND)
 
+    def wait_for_store(self) -> bool:
+        """Wait until a call may be made; return whether it is a probe."""
+        while delay_ms := self.breaker.delay_ms(self.clock.now_ms()):
+            if self.breaker.is_outage:
+                self.listener.on_outage()
+            gevent.sleep(delay_ms / MS_PER_SECOND)
+        return self.breaker.begin_call()
+
+    def watch_wait_ms(self, is_stale: bool) -> int:
+        """Return how long the next watch may wait for changes, in ms."""
+        if self.calls[CALL_ANSWERED] <= 1:
+            return FIRST_WATCH_WAIT_MS
+        return STALE_WATCH_WAIT_MS if is_stale else WATCH_WAIT_MS
+
     def apply(self, changes: Changes, since: int) -> bool:
         """Apply changes after `since`, unless newer ones already are.
 
@@ -177,11 +195,20 @@
         if self.peers_revision <= self.revision:
             self.behind_since_ms = None
         elif now_ms - self.behind_since_ms >= CATCH_UP_AFTER_MS:
-            self.behind_since_ms = now_ms
-            if self.catch_up_greenlet is None or self.catch_up_greenlet.ready():
-                self.catch_up_greenlet = gevent.spawn(self.catch_up)
+            self.start_catch_up(now_ms)
+
+    def start_catch_up(self, now_ms: int) -> None:
+        """Start an exact read, unless one runs or the store fails."""
+        is_reading = (
+            self.catch_up_greenlet is not None and not self.catch_up_greenlet.ready()
+        )
+        if is_reading or self.breaker.delay_ms(now_ms):
+            return
+        self.behind_since_ms = now_ms
+        is_probe = self.breaker.begin_call()
+        self.catch_up_greenlet = gevent.spawn(self.catch_up, is_probe)
 
-    def catch_up(self) -> None:
+    def catch_up(self, is_probe: bool) -> None:
         """Read the changes since the known revision, exactly and at once."""
         revision = self.revision
         _LOGGER.info(
@@ -192,37 +219,46 @@
         )
         read = self.source.watch(self.kind, revision, CATCH_UP_WAIT_MS, False)
         if isinstance(read, Failure):
-            self.calls[read.failure().kind] += 1
-            _LOGGER.info(
-                "discovery: Could not catch up on %s: %s.",
-                self.kind,
-                read.failure().kind,
-            )
+            self.record_failure(read.failure(), is_probe)
             return
-        self.calls[CALL_ANSWERED] += 1
+        self.record_answer()
         self.apply(read.unwrap(), revision)
 
-    def back_off(self, error: StoreError) -> None:
-        """Record a failed call and wait before the next one."""
-        if self.backoff.failures == 0:
+    def handle_gone(self) -> None:
+        """Record that the store answered, but has dropped the history."""
+        self.calls[StoreErrorKind.GONE] += 1
+        self.breaker.on_answer()
+        _LOGGER.info("discovery: The store dropped the history of %s.", self.kind)
+
+    def handle_failure(self, error: StoreError, is_probe: bool) -> None:
+        """Record a failed call; wait if only this kind can't be read."""
+        self.record_failure(error, is_probe)
+        self.listener.on_outage()
+        if error.kind not in OUTAGE_KINDS:
+            gevent.sleep(self.backoff.next_delay_ms() / MS_PER_SECOND)
+
+    def record_failure(self, error: StoreError, is_probe: bool) -> None:
+        """Count a failed call, and tell the breaker what it shows."""
+        self.calls[error.kind] += 1
+        if not self.breaker.is_open:
             _LOGGER.warning(
                 "discovery: Could not read %s: %s, %s.",
                 self.kind,
                 error.kind,
                 error.reason,
             )
-        self.calls[error.kind] += 1
-        self.listener.on_outage()
-        gevent.sleep(self.backoff.next_delay_ms() / MS_PER_SECOND)
+        if error.kind in OUTAGE_KINDS:
+            self.breaker.on_failure(is_probe, self.clock.now_ms())
+        elif is_probe:
+            self.breaker.on_answer()
 
     def record_answer(self) -> None:
-        """Record a successful call and reset the backoff."""
+        """Record a successful call."""
         self.last_answer_ms = self.clock.now_ms()
         self.calls[CALL_ANSWERED] += 1
-        if self.backoff.failures:
+        self.backoff.reset()
+        failures = self.breaker.on_answer()
+        if failures:
             _LOGGER.info(
-                "discovery: Reading %s again after %s failures.",
-                self.kind,
-                self.backoff.failures,
+                "discovery: Reading the store again after %s failures.", failures
             )
-        self.backoff.reset()
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -13,6 +13,7 @@
 from bilberry_fleet.discovery.config import ConfigListener, NamesListener
 from bilberry_fleet.discovery.feed import Feed, FeedListener
 from bilberry_fleet.discovery.messages import NodeInfo
+from bilberry_fleet.discovery.store_breaker import StoreBreaker
 from bilberry_fleet.discovery.upstreams import UpstreamListener
 from bilberry_resources.routing import CallerLimits, RoutingConfig
 
@@ -193,6 +194,7 @@
                 )
 
     def _feeds(self, seed: int) -> list[Feed]:
+        breaker = StoreBreaker(seed)
         kinds = self.platform.kinds
         config = ConfigListener(
             kinds.config_name, self.platform.decode_config, self.install
@@ -211,6 +213,7 @@
                 self.clock,
                 seed + index,
                 self.membership.may_read_stale,
+                breaker,
             )
             for index, (kind, listener) in enumerate(listeners)
         ]
--- a/tests/bilberry_fleet/discovery/test_feed.py
+++ b/tests/bilberry_fleet/discovery/test_feed.py
@@ -8,6 +8,7 @@
 from bilberry_fleet.discovery.const import CATCH_UP_AFTER_MS, CATCH_UP_WAIT_MS
 from bilberry_fleet.discovery.feed import Feed
 from bilberry_fleet.discovery.source import Change, Changes, Record, Snapshot
+from bilberry_fleet.discovery.store_breaker import StoreBreaker
 from bilberry_store.errors import StoreError, StoreErrorKind
 
 
@@ -61,7 +62,13 @@
         self.source = ScriptedSource()
         self.listener = RecordingListener()
         self.feed = Feed(
-            "servers", self.source, self.listener, self.clock, 1, lambda: stale
+            "servers",
+            self.source,
+            self.listener,
+            self.clock,
+            1,
+            lambda: stale,
+            StoreBreaker(1),
         )
 
     def __enter__(self):
