Remove a leaving node's store entry when it leaves, not at its end

A node that still had long requests kept 300 ms of its grace for closing, and then removed its entry from the store, which takes up to 1.5 s when the store is slow or silent.

Ruled out: a larger margin (it would cut requests sooner).

Change: the entry is removed in the background when the node begins to drain; peers keep the node as long as its heartbeats come. Both new tests in tests/bilberry_platform/test_discovery.py fail on the code before.

--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -76,23 +76,32 @@
         self.task = gevent.spawn(self.register)
 
     def leave(self) -> None:
-        """Announce to the peers that this node accepts no new callers."""
+        """Announce to the peers that this node accepts no new callers.
+
+        Its entry is removed at once, as a slow store could hold up the end.
+        """
         self.leaving = True
         self.stop_registering()
+        self.task = gevent.spawn(self.unregister)
         self.heartbeats.send_now()
 
     def close(self) -> None:
-        """Remove the node's entry and stop the heartbeats."""
+        """Remove the node's entry, unless it has left, and stop."""
         self.stop_registering()
+        if not self.leaving:
+            self.unregister()
+        self.heartbeats.close()
+
+    def unregister(self) -> None:
+        """Remove the node's entry from the store."""
         deleted = self.platform.registration.delete(self.node_info.name)
         if isinstance(deleted, Failure):
             _LOGGER.warning(
                 "fleet: Failed to remove this node's entry: %s.", deleted.failure()
             )
-        self.heartbeats.close()
 
     def stop_registering(self) -> None:
-        """Stop writing the node's entry."""
+        """Stop writing or removing the node's entry."""
         if self.task is not None:
             self.task.kill()
             self.task = None
--- a/tests/bilberry_platform/test_discovery.py
+++ b/tests/bilberry_platform/test_discovery.py
@@ -3,6 +3,7 @@
 This covers outages, lost history, invalid entries and restarts.
 """
 
+import gevent
 import pytest
 
 from bilberry_core.outcome import Failure
@@ -76,6 +77,24 @@
         assert node.state.upstreams.by_name["i-0"].is_cold(now_ms)
 
 
+def test_a_leaving_node_removes_its_entry_before_it_ends():
+    with Deployment() as deployment:
+        node = deployment.node()
+        eventually(lambda: deployment.store.table.get("nodes", "n1"))
+        node.membership.leave()
+        eventually(lambda: not deployment.store.table.get("nodes", "n1"))
+        assert fetch(node.entry_listener, "/read/x").status == 200
+
+
+def test_a_node_ends_in_time_though_the_store_is_silent():
+    with Deployment(grace_ms=1_000) as deployment:
+        node = deployment.node()
+        deployment.store.faults.silent = True
+        stopped = gevent.spawn(node.stop)
+        stopped.join(timeout=1.5)
+        assert stopped.ready()
+
+
 def test_a_lost_watch_history_is_replaced_by_a_list():
     with Deployment() as deployment:
         node = deployment.node()
