--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -6,6 +6,8 @@
 
 LOAD_REPORT_TTL_MS = 150
 PEER_LOAD_TTL_MS = 2_500
+DISTANT_LOAD_WEIGHT = 0.25
+MIN_MEAN_LOAD = 0.05
 OTHER_REGION_RESERVE = 0.1
 # Pools up to this size are compared whole; of others a sample is taken.
 MAX_SCANNED_UPSTREAMS = 24
--- a/packages/bilberry_balance/src/bilberry_balance/placement/peer_loads.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/peer_loads.py
@@ -1,15 +1,19 @@
 """Sum the requests that other nodes have in flight at each upstream."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 
-from .const import PEER_LOAD_TTL_MS
+from .const import DISTANT_LOAD_WEIGHT, MIN_MEAN_LOAD, PEER_LOAD_TTL_MS
 
 
 @dataclass(slots=True, frozen=True)
 class PeerLoad:
-    """Store the in-flight counts that a node or domain reported, and when."""
+    """Store in-flight counts of a node or domain, and when they came.
 
-    counts: dict[str, int]
+    Those of distant domains are means, of at least `MIN_MEAN_LOAD`.
+    """
+
+    counts: dict[str, float]
     received_at_ms: int
 
 
@@ -20,14 +24,31 @@
 
     def __init__(self) -> None:
         self.peers: dict[str, PeerLoad] = {}
-        self.totals: dict[str, int] = {}
+        self.totals: dict[str, float] = {}
 
-    def update(self, node: str, counts: dict[str, int], now_ms: int) -> None:
+    def update(self, node: str, counts: Mapping[str, float], now_ms: int) -> None:
         """Replace the counts of a node."""
         self.remove(node)
-        self.peers[node] = PeerLoad(counts, now_ms)
+        self.peers[node] = PeerLoad(dict(counts), now_ms)
         for name, count in counts.items():
-            self.totals[name] = self.totals.get(name, 0) + count
+            self.totals[name] = self.totals.get(name, 0.0) + count
+
+    def update_mean(self, domain: str, counts: dict[str, int], now_ms: int) -> None:
+        """Move the counts of a distant domain towards the latest ones.
+
+        They are old when they arrive, so that their mean tells more of the
+        present than the latest count.
+        """
+        known = self.peers.get(domain)
+        if known is None:
+            self.update(domain, counts, now_ms)
+            return
+        means = {
+            name: _mean(known.counts.get(name, 0.0), counts.get(name, 0))
+            for name in {*known.counts, *counts}
+        }
+        kept = {name: mean for name, mean in means.items() if mean >= MIN_MEAN_LOAD}
+        self.update(domain, kept, now_ms)
 
     def remove(self, node: str) -> None:
         """Remove the counts of a node."""
@@ -36,7 +57,7 @@
             return
         for name, count in old.counts.items():
             left = self.totals[name] - count
-            if left:
+            if left >= MIN_MEAN_LOAD:
                 self.totals[name] = left
             else:
                 del self.totals[name]
@@ -47,6 +68,10 @@
             if now_ms - load.received_at_ms > PEER_LOAD_TTL_MS:
                 self.remove(node)
 
-    def total(self, upstream: str) -> int:
+    def total(self, upstream: str) -> float:
         """Return how many requests other nodes have in flight there."""
-        return self.totals.get(upstream, 0)
+        return self.totals.get(upstream, 0.0)
+
+
+def _mean(mean: float, latest: int) -> float:
+    return mean + DISTANT_LOAD_WEIGHT * (latest - mean)
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -77,7 +77,7 @@
             return True
         return self.unreachable and self.in_flight > 0
 
-    def load(self, peers_load: int, now_ms: int) -> int:
+    def load(self, peers_load: float, now_ms: int) -> float:
         """Return the known number of its requests from all nodes."""
         if now_ms - self.reported_at_ms < LOAD_REPORT_TTL_MS:
             return self.in_flight + self.reported_peer_load
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
@@ -154,6 +154,11 @@
         """Return whether a node is in this node's region."""
         return info.region == self.own.region
 
+    def is_own_region_domain(self, failure_domain: str) -> bool:
+        """Return whether a failure domain is known to be in this region."""
+        peers = self.by_domain.get(failure_domain, {})
+        return any(self.is_in_own_region(peer.info) for peer in peers.values())
+
     def is_in_own_domain(self, info: NodeInfo) -> bool:
         """Return whether a node is in this node's failure domain."""
         return info.failure_domain == self.own.failure_domain
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -226,7 +226,7 @@
         """Send the request to one upstream and record the outcome."""
         upstream = selection.upstream
         now_ms = self.state.clock.now_ms()
-        load = upstream.load(self.state.peer_loads.total(upstream.name), now_ms)
+        load = round(upstream.load(self.state.peer_loads.total(upstream.name), now_ms))
         report_age_ms = upstream.report_age_ms(now_ms)
         attempt = Attempt(
             active.request.head.method,
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -156,7 +156,11 @@
     def on_summary(self, summary: DomainSummary) -> None:
         """Merge another failure domain's load and suspected requests."""
         now_ms = self.state.clock.now_ms()
-        self.state.peer_loads.update(summary.failure_domain, summary.in_flight, now_ms)
+        loads = self.state.peer_loads
+        if self.peers.is_own_region_domain(summary.failure_domain):
+            loads.update(summary.failure_domain, summary.in_flight, now_ms)
+        else:
+            loads.update_mean(summary.failure_domain, summary.in_flight, now_ms)
         self.state.crash_detector.merge(summary.suspects, now_ms)
         self.merge_revisions(summary.revisions, now_ms)
 
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -139,7 +139,9 @@
     def service_load(self, service: str, now_ms: int) -> int:
         """Return the known number of requests at a service's upstreams."""
         pool = self.upstreams.pools.get(service, {})
-        return sum(u.load(self.peer_loads.total(u.name), now_ms) for u in pool.values())
+        return round(
+            sum(u.load(self.peer_loads.total(u.name), now_ms) for u in pool.values())
+        )
 
     def service_slots(self, service: str) -> int:
         """Return the slots of all of a service's upstreams."""
