--- a/packages/bilberry_fleet/src/bilberry_fleet/membership.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/membership.py
@@ -6,7 +6,7 @@
 refutes the claim with a higher stamp, raising its incarnation if needed.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from functools import lru_cache
 
 import msgspec
@@ -29,6 +29,7 @@
 )
 RANKS_PER_CHANGE = 8
 MAX_DECODED_MEMBERS = 4_096
+MAX_BOOTSTRAP_RELAYS = 8
 
 USABLE_STATES = (MemberState.LIVE, MemberState.JOINING)
 MONITORED_STATES = (MemberState.LIVE, MemberState.JOINING, MemberState.LEAVING)
@@ -325,3 +326,27 @@
         """Return the relays of all failure domains."""
         chosen = [self.relays(domain) for domain in self.failure_domains()]
         return [name for relays in chosen for name in relays]
+
+    def relay_addresses(self) -> list[str]:
+        """Return the relay addresses to pull from while joining."""
+        relays = [*self.relays(), *self.all_relays()]
+        addresses = [self.roster[name].peer_address for name in relays]
+        others = [a for a in addresses if a != self.own.peer_address]
+        return others[:MAX_BOOTSTRAP_RELAYS]
+
+    def store_readers(self) -> list[str]:
+        """Return the nodes that read the VM list in turns, with this one."""
+        relays = self.all_relays()
+        if self.is_alone() or self.own.name not in relays:
+            return [self.own.name]
+        return relays
+
+    def members(self, unreachable_domains: Collection[str]) -> list[Member]:
+        """Return all members, live ones that are unreachable as suspect."""
+        return [
+            msgspec.structs.replace(member, state=MemberState.SUSPECT)
+            if member.failure_domain in unreachable_domains
+            and member.state is MemberState.LIVE
+            else member
+            for member in self.roster.values()
+        ]
--- a/packages/bilberry_fleet/src/bilberry_fleet/node.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/node.py
@@ -255,14 +255,7 @@
         if self.own.state is MemberState.JOINING and self.ready:
             self.ready = False
             self.readiness.reset()
-            self.pull_schedule.bootstrap_addresses = self.peer_addresses()
-
-    def peer_addresses(self) -> list[str]:
-        """Return the relay addresses to pull from while joining."""
-        relays = [*self.membership.relays(), *self.membership.all_relays()]
-        members = [self.membership.roster[name] for name in relays]
-        own = self.own.peer_address
-        return [m.peer_address for m in members if m.peer_address != own][:8]
+            self.pull_schedule.bootstrap_addresses = self.membership.relay_addresses()
 
     def config_freshness(self, now_ms: int) -> ConfigFreshness:
         """Return the source and age of this node's configuration."""
@@ -334,7 +327,7 @@
 
     def apply_vm_list(self, read: StoreRead, items: list[VmItem], now_ms: int) -> None:
         """Apply the platform's VM list; pull from unknown VMs on it."""
-        self.schedule_vm_lists()
+        self.read_schedule.take_turns(self.membership.store_readers())
         self.read_schedule.record_answer(read, True, now_ms)
         self.membership.apply_vm_list(items, self.unreachable(now_ms), now_ms)
         if not self.pull_schedule.bootstrap_addresses:
@@ -343,16 +336,6 @@
                 unknown_addresses, self.membership.is_alone()
             )
 
-    def schedule_vm_lists(self) -> None:
-        """Take turns with the other relays to read the VM list."""
-        schedule = self.read_schedule
-        relays = self.membership.all_relays()
-        name = self.membership.own.name
-        if self.membership.is_alone() or name not in relays:
-            relays = [name]
-        schedule.vm_list_readers = len(relays)
-        schedule.vm_list_turn = relays.index(name)
-
     def emit_config_installed(self) -> None:
         """Emit the event for a newer configuration."""
         event = ConfigInstalled(self.config.version, self.config.installed_entries())
@@ -403,14 +386,8 @@
         return self.unreachable_from_relay
 
     def members(self, now_ms: int) -> list[Member]:
-        """Return the roster with unreachable live members as suspect."""
-        unreachable = self.unreachable(now_ms)
-        return [
-            msgspec.structs.replace(member, state=MemberState.SUSPECT)
-            if member.failure_domain in unreachable and member.state is MemberState.LIVE
-            else member
-            for member in self.membership.roster.values()
-        ]
+        """Return all members, live ones that are unreachable as suspect."""
+        return self.membership.members(self.unreachable(now_ms))
 
     def rollout_status(self, version: int) -> RolloutStatus:
         """Return how many live sites installed `version`, as relays report."""
--- a/packages/bilberry_fleet/src/bilberry_fleet/read_schedule.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/read_schedule.py
@@ -73,6 +73,11 @@
         for resource in (RESOURCE_VMS, KIND_PLAN, *CONFIG_KINDS):
             self.states[resource] = ReadState()
 
+    def take_turns(self, readers: list[str]) -> None:
+        """Read the VM list in turns with `readers`, this node among them."""
+        self.vm_list_readers = len(readers)
+        self.vm_list_turn = readers.index(self.node_name)
+
     def due(self, now_ms: int) -> list[StoreRead]:
         """Return the reads that are due and mark them as in flight.
 
--- a/packages/bilberry_steering/src/bilberry_steering/messages.py
+++ b/packages/bilberry_steering/src/bilberry_steering/messages.py
@@ -172,6 +172,13 @@
     errors: float = 0
     latency_ms: float = 0
 
+    def add(self, ok: bool, latency_ms: float) -> None:
+        """Count one result."""
+        self.served += 1
+        self.latency_ms += latency_ms
+        if not ok:
+            self.errors += 1
+
 
 class NodeReport(msgspec.Struct, kw_only=True, omit_defaults=True):
     """Represent a node's counts of a window and the plan that it follows.
--- a/packages/bilberry_steering/src/bilberry_steering/node.py
+++ b/packages/bilberry_steering/src/bilberry_steering/node.py
@@ -316,10 +316,7 @@
     def record_result(self, result: RequestResult, now_ms: int) -> None:
         """Count a result and charge its actual sizes to the links."""
         flow = self.tallies.flow(result.service, result.group, result.region)
-        flow.served += 1
-        flow.latency_ms += result.latency_ms
-        if not result.ok:
-            flow.errors += 1
+        flow.add(result.ok, result.latency_ms)
         breaker = self.breakers.setdefault(
             (result.service, result.region), CircuitBreaker(now_ms)
         )
@@ -337,10 +334,7 @@
         in_link = link_resource(result.region, self.region)
         self.tallies.add_link(out_link, result.request_bytes)
         self.tallies.add_link(in_link, result.response_bytes)
-        if draw.out_link_bucket is not None:
-            draw.out_link_bucket.take(result.request_bytes - draw.out_bytes)
-        if draw.in_link_bucket is not None:
-            draw.in_link_bucket.take(result.response_bytes - draw.in_bytes)
+        draw.settle(result.request_bytes, result.response_bytes)
 
     def collect_report(self, now_ms: int) -> NodeReport:
         """Return the counts since the last report and reset them."""
--- a/packages/bilberry_steering/src/bilberry_steering/quota_draws.py
+++ b/packages/bilberry_steering/src/bilberry_steering/quota_draws.py
@@ -58,6 +58,13 @@
         self.charge(fit)
         return fit
 
+    def settle(self, out_bytes: float, in_bytes: float) -> None:
+        """Charge the links the difference of actual and expected sizes."""
+        if self.out_link_bucket is not None:
+            self.out_link_bucket.take(out_bytes - self.out_bytes)
+        if self.in_link_bucket is not None:
+            self.in_link_bucket.take(in_bytes - self.in_bytes)
+
     def charge(self, count: float) -> None:
         """Take the cost of `count` requests from every bucket."""
         if self.capacity_bucket is not None:
