Send nothing to an upstream that was replaced at its address

When a failure domain's upstreams come back, the entries of their former runs stay in the store for three heartbeats. Each node went on sending to them until the new run at the address had turned it away once (421): 93 sends in four seconds there, and 20 callers were told to come back.

Ruled out: dropping the older entry (it may come late, or the newer one may leave first).

Change: the directory of upstreams knows who holds each address, the one that started last.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/directory.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/directory.py
@@ -5,22 +5,35 @@
 
 
 class UpstreamDirectory:
-    """Store upstreams by name and by service; times in monotonic ms."""
+    """Store upstreams by name and by service; times in monotonic ms.
 
-    __slots__ = ("by_name", "cold_rate_limiter", "evacuated", "pools")
+    Of several at one address the latest started one holds it. The others
+    have ended, though their entries may still be there.
+    """
+
+    __slots__ = ("by_name", "cold_rate_limiter", "evacuated", "holders", "pools")
 
     def __init__(self, cold_rate_limiter: ColdRateLimiter) -> None:
         self.cold_rate_limiter = cold_rate_limiter
         self.by_name: dict[str, Upstream] = {}
         self.pools: dict[str, dict[str, Upstream]] = {}
+        self.holders: dict[str, Upstream] = {}
         self.evacuated: frozenset[str] = frozenset()
 
     def accepts_requests(self, upstream: Upstream) -> bool:
-        """Return whether `upstream` is neither draining nor evacuated."""
-        if upstream.draining:
+        """Return whether it may get requests.
+
+        It is not draining, evacuated or replaced at its address.
+        """
+        if upstream.draining or self.is_replaced(upstream):
             return False
         return upstream.spec.failure_domain not in self.evacuated
 
+    def is_replaced(self, upstream: Upstream) -> bool:
+        """Return whether a later started upstream has its address."""
+        holder = self.holders.get(upstream.spec.address, upstream)
+        return holder.spec.started_at_ms > upstream.spec.started_at_ms
+
     def put(self, spec: UpstreamSpec, draining: bool) -> Upstream:
         """Add or update an upstream; a new incarnation replaces the old."""
         known = self.by_name.get(spec.name)
@@ -32,6 +45,9 @@
         upstream = Upstream(spec, draining)
         self.by_name[spec.name] = upstream
         self.pools.setdefault(spec.service, {})[spec.name] = upstream
+        holder = self.holders.get(spec.address)
+        if holder is None or spec.started_at_ms >= holder.spec.started_at_ms:
+            self.holders[spec.address] = upstream
         return upstream
 
     def remove(self, name: str) -> Upstream | None:
@@ -40,6 +56,7 @@
         if upstream is not None:
             upstream.draining = True
             del self.pools[upstream.spec.service][name]
+            self._release_address(upstream)
         return upstream
 
     def mark_cold(
@@ -57,3 +74,14 @@
         restored = self.evacuated - domains
         self.evacuated = domains
         return restored
+
+    def _release_address(self, upstream: Upstream) -> None:
+        address = upstream.spec.address
+        if self.holders.get(address) is not upstream:
+            return
+        del self.holders[address]
+        for other in self.by_name.values():
+            if other.spec.address == address:
+                holder = self.holders.setdefault(address, other)
+                if other.spec.started_at_ms > holder.spec.started_at_ms:
+                    self.holders[address] = other
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -146,7 +146,14 @@
             )
         if previous is None or previous.spec != entry.spec:
             self.pool_changed = True
+        former = self.directory.holders.get(entry.spec.address)
         upstream = self.directory.put(entry.spec, entry.draining)
+        if former is not None and self.directory.is_replaced(former):
+            _LOGGER.info(
+                "discovery: Upstream %s was replaced at its address by %s.",
+                former.name,
+                upstream.name,
+            )
         pool = self.pools.get(entry.spec.service)
         cold_per_s = pool.cold_requests_per_s if pool else 0.0
         now_ms = self.clock.now_ms()
