List again when a feed that is behind finds its history gone

A feed that peers know to be ahead of makes an exact read beside its watch. When that read was told that the history is gone, it was only logged: a watch whose connection had gone silent went on for as long as it may wait, 20 s, with old configuration and upstreams.

Change: the feed gives up its watch and lists. The test in test_feed.py fails on the code before.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -218,11 +218,20 @@
             self.peers_revision,
         )
         read = self.source.watch(self.kind, revision, CATCH_UP_WAIT_MS, False)
-        if isinstance(read, Failure):
+        if not isinstance(read, Failure):
+            self.record_answer()
+            self.apply(read.unwrap(), revision)
+        elif read.failure().kind is StoreErrorKind.GONE:
+            self.handle_gone()
+            self.restart()
+        else:
             self.record_failure(read.failure(), is_probe)
-            return
-        self.record_answer()
-        self.apply(read.unwrap(), revision)
+
+    def restart(self) -> None:
+        """List again, in place of a watch that may have gone silent."""
+        if self.greenlet is not None:
+            self.greenlet.kill()
+            self.start()
 
     def handle_gone(self) -> None:
         """Record that the store answered, but has dropped the history."""
--- a/tests/bilberry_fleet/discovery/test_feed.py
+++ b/tests/bilberry_fleet/discovery/test_feed.py
@@ -148,3 +148,17 @@
         gevent.sleep(0)
         rig.check(CATCH_UP_AFTER_MS)
         assert len(rig.exact_reads) == 2
+
+
+def test_a_silent_watch_is_given_up_when_its_history_is_gone():
+    with FeedRig() as rig:
+        rig.tell(14)
+        rig.check()
+        rig.check(CATCH_UP_AFTER_MS)
+        gone = StoreError(kind=StoreErrorKind.GONE, reason="status 410")
+        rig.source.answers[2].set(Failure(gone))
+        for _ in range(5):
+            gevent.sleep(0)
+        assert rig.source.calls[3] == ("list",)
+        rig.source.answer(3, Snapshot([], 20))
+        assert rig.source.calls[4][1] == 20
