Test that crossed reads bring nothing back, and cold rates at 880 nodes

Property test of a feed whose answers are late, stale and crossed (fails when answers to older revisions are applied), and of the cold rates of all nodes together: within the limit, and used. No code of the node changes.

--- a/tests/bilberry_balance/placement/test_cold_rate_limiter.py
+++ b/tests/bilberry_balance/placement/test_cold_rate_limiter.py
@@ -33,12 +33,20 @@
     return max(sum(t <= other < t + 1_000 for other in times) for t in times)
 
 
-@pytest.mark.parametrize(("nodes", "known"), [(10, 10), (16, 10), (11, 11), (86, 86)])
+@pytest.mark.parametrize(
+    ("nodes", "known"), [(10, 10), (16, 10), (11, 11), (86, 86), (195, 195), (880, 880)]
+)
 def test_the_rate_of_all_nodes_stays_within_the_limit(nodes, known):
     times = simulate_sends(nodes, known)
     assert max_per_second(times) <= COLD_PER_S * OVERAGE + SLACK
 
 
+@pytest.mark.parametrize("nodes", [12, 90, 195, 880])
+def test_a_cold_upstream_is_used_by_some_of_many_nodes(nodes):
+    times = simulate_sends(nodes, nodes)
+    assert len(times) >= COLD_PER_S * COLD_MS / 1_000 / 3
+
+
 def test_without_dividing_by_the_nodes_the_limit_is_exceeded():
     assert max_per_second(simulate_sends(10, 1)) > COLD_PER_S * OVERAGE + SLACK
 
--- a/tests/bilberry_fleet/discovery/test_feed.py
+++ b/tests/bilberry_fleet/discovery/test_feed.py
@@ -2,6 +2,8 @@
 
 import gevent
 from gevent.event import AsyncResult
+from hypothesis import given
+from hypothesis import strategies as st
 
 from bilberry_core.clock import ManualClock
 from bilberry_core.outcome import Failure, Success
@@ -162,3 +164,66 @@
         assert rig.source.calls[3] == ("list",)
         rig.source.answer(3, Snapshot([], 20))
         assert rig.source.calls[4][1] == 20
+
+
+class History:
+    """The true changes of a kind; each revision is one change."""
+
+    def __init__(self, changes):
+        self.changes = changes
+
+    def state_at(self, revision):
+        state = {}
+        for number, (name, deleted) in enumerate(self.changes[:revision], 1):
+            if deleted:
+                state.pop(name, None)
+            else:
+                state[name] = number
+        return state
+
+    def read(self, since, as_of):
+        found = [
+            Change(Record(self.changes[r][0], r + 1, {}), self.changes[r][1])
+            for r in range(since, as_of)
+        ]
+        return Changes(found, as_of)
+
+
+class StateListener:
+    """Keeps the revision of each object, as the feed tells it."""
+
+    def __init__(self):
+        self.state = {}
+
+    def on_changes(self, changes):
+        for change in changes.changes:
+            if change.deleted:
+                self.state.pop(change.record.name, None)
+            else:
+                self.state[change.record.name] = change.record.revision
+
+
+@given(
+    st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), min_size=1, max_size=30),
+    st.lists(
+        st.tuples(st.integers(0, 30), st.integers(0, 3), st.booleans()), max_size=40
+    ),
+)
+def test_answers_late_stale_and_crossed_never_bring_the_past_back(changed, steps):
+    """Reads begin at any time, end in any order and may miss the latest."""
+    history = History(changed)
+    listener = StateListener()
+    feed = Feed("servers", None, listener, ManualClock(), 1, bool, StoreBreaker(1))
+    under_way = []
+    for missed, place, begins in steps:
+        if begins or not under_way:
+            as_of = max(feed.revision, len(changed) - missed)
+            under_way.append((feed.revision, as_of))
+            continue
+        since, as_of = under_way.pop(place % len(under_way))
+        known = feed.revision
+        feed.apply(history.read(since, as_of), since)
+        assert feed.revision >= known
+        assert listener.state == history.state_at(feed.revision)
+    feed.apply(history.read(feed.revision, len(changed)), feed.revision)
+    assert listener.state == history.state_at(len(changed))
