Take over the turns of a reader that is gone, not a cycle later

Relays read the platform's VM list in turns, and took a change of the readers into account only with their own next read. When one of them is gone, or is only taken to be gone for a moment on a busy machine, two turns pass without a read: 4 s at 2 s a turn.

Ruled out: the bound (it stays).

Change: a reader looks at the readers twice a turn, and moves its next read to its new turn. Test: test_readers_take_over_the_turns_of_one_that_is_gone.

--- a/packages/bilberry_fleet/src/bilberry_fleet/node.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/node.py
@@ -267,6 +267,7 @@
             return []
         if self.plan.is_partial:
             self.read_schedule.plan_version = 0
+        self.read_schedule.update_turns(self.membership.store_readers, now_ms)
         return self.read_schedule.due(now_ms)
 
     def apply_list(self, read: StoreRead, listed: ObjectList, now_ms: int) -> None:
@@ -327,7 +328,6 @@
 
     def apply_vm_list(self, read: StoreRead, items: list[VmItem], now_ms: int) -> None:
         """Apply the platform's VM list; pull from unknown VMs on it."""
-        self.read_schedule.take_turns(self.membership.store_readers())
         self.read_schedule.record_answer(read, True, now_ms)
         self.membership.apply_vm_list(items, self.unreachable(now_ms), now_ms)
         if not self.pull_schedule.bootstrap_addresses:
--- a/packages/bilberry_fleet/src/bilberry_fleet/read_schedule.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/read_schedule.py
@@ -1,5 +1,6 @@
 """Schedule a node's reads of the store."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -12,6 +13,8 @@
 from .settings import FleetSettings
 
 RESOURCE_VMS = "vms"
+# How often in a turn to look for other readers.
+CHECKS_PER_TURN = 2
 
 
 class ReadOperation(StrEnum):
@@ -61,6 +64,7 @@
     vm_list_readers: int = 1
     vm_list_turn: int = 0
     wall_offset_ms: int = 0
+    next_turns_ms: int = 0
     store_down: bool = False
     next_probe_ms: int = 0
     states: dict[str, ReadState] = field(default_factory=dict)
@@ -73,10 +77,22 @@
         for resource in (RESOURCE_VMS, KIND_PLAN, *CONFIG_KINDS):
             self.states[resource] = ReadState()
 
-    def take_turns(self, readers: list[str]) -> None:
-        """Read the VM list in turns with `readers`, this node among them."""
-        self.vm_list_readers = len(readers)
-        self.vm_list_turn = readers.index(self.node_name)
+    def update_turns(self, readers: Callable[[], list[str]], now_ms: int) -> None:
+        """Read the VM list in turns with `readers`, this node among them.
+
+        A read that was scheduled for another turn moves to the new one.
+        """
+        if now_ms < self.next_turns_ms:
+            return
+        self.next_turns_ms = now_ms + self.settings.vms_ms // CHECKS_PER_TURN
+        names = readers()
+        turn = names.index(self.node_name)
+        if (len(names), turn) == (self.vm_list_readers, self.vm_list_turn):
+            return
+        self.vm_list_readers, self.vm_list_turn = len(names), turn
+        state = self.states[RESOURCE_VMS]
+        if not state.in_flight:
+            state.next_ms = min(state.next_ms, self.next_vm_list_ms(now_ms))
 
     def due(self, now_ms: int) -> list[StoreRead]:
         """Return the reads that are due and mark them as in flight.
--- a/tests/bilberry_fleet/test_read_schedule.py
+++ b/tests/bilberry_fleet/test_read_schedule.py
@@ -84,3 +84,27 @@
     later = [time for time in times if time > settled]
     gaps = [after - before for before, after in itertools.pairwise(later)]
     assert max(gaps) <= interval_ms
+
+
+@pytest.mark.parametrize("count", [4, 6])
+def test_readers_take_over_the_turns_of_one_that_is_gone(count):
+    interval_ms = FleetSettings().vms_ms
+    names = [f"vm-{index}" for index in range(count)]
+    schedules = {
+        name: ReadSchedule(ConfigState(), Readiness(), FleetSettings(), name)
+        for name in names
+    }
+    times = []
+    for now_ms in range(0, 60 * interval_ms, 50):
+        gone = names[(now_ms // (7 * interval_ms)) % count]
+        known = [name for name in names if name != gone]
+        for name in known:
+            schedule = schedules[name]
+            schedule.update_turns(lambda known=known: known, now_ms)
+            for read in schedule.due(now_ms):
+                if read.resource == RESOURCE_VMS:
+                    times.append(now_ms)
+                    schedule.record_answer(read, True, now_ms)
+    settled = [time for time in times if time > 2 * count * interval_ms]
+    gaps = [late - early for early, late in itertools.pairwise(settled)]
+    assert max(gaps) <= interval_ms + interval_ms // 2
