Let requests wait at upstreams, and keep keys out of short regions

A node that waits for a slot hears of it with the next heartbeat, a second later for other regions; with three slots an upstream is full by chance most of the time. And a region with a twelfth of the upstreams and a third of the callers found only 0.4 of the objects cached: each upstream there had four times as many as it can keep. Requests to other regions took two round trips, as half of them made a new connection, which no estimate knew. The expected wait in the queue came from the node's own rate of starts, which is small in a large fleet whatever room there is, so that requests were refused at half load.

Change: - A request that should find its object may wait at its upstream, up to one for each slot, fewer for 5 s after it shed with fewer waiting. - A region with less slots than the mean takes only the keys that its slots and caches carry, by a hash that all nodes share; others go to other regions. - Round trips are learned from connects, processing times apart from them and apart for this region and the others; an upstream with an idle connection is nearer. Fixed distances and the reserve in other regions are gone. - The expected wait follows the slots that all nodes share.

Ruled out (simulation): waiting longer at the node, another weight of the time waited, waiting for a slot in another region, charging evictions by the misses seen (all within noise).

--- /dev/null
+++ b/bench/placement_model.py
@@ -0,0 +1,118 @@
+"""Model deployments, upstreams with object caches, and callers' requests."""
+
+import math
+import random
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from bilberry_core.const import MS_PER_SECOND
+
+KNOWN_OBJECT_FRACTION = 0.3
+WORK_SPREAD = 0.15
+WAVE_PERIOD_MS = 36_000
+WAVE_SWING = 0.55
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceModel:
+    """Describe a service, its upstreams by region and its requests.
+
+    `objects` are asked for nearly equally often; an upstream remembers the
+    latest `cached_objects` of them and is faster for these.
+    """
+
+    name: str
+    upstreams: dict[str, int]
+    slots: int
+    cached_objects: int
+    share: float
+    work_ms: int
+    target_ms: int
+    timeout_ms: int
+    objects: int
+    worth: float = 1.0
+    late_worth: float = 0.2
+    priority: int = 2
+    idempotent: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class DeploymentModel:
+    """Describe regions, nodes and load; delays are one-way, in ms.
+
+    `phases` shift the wave of each region's load, as fractions of its period.
+    """
+
+    name: str
+    phases: dict[str, float]
+    domains_per_region: int
+    nodes_per_domain: int
+    per_s: float
+    services: tuple[ServiceModel, ...]
+    domain_ms: int = 4
+    region_ms: int = 55
+
+    def load_factor(self, region: str, now_ms: int) -> float:
+        """Return a region's load at a time, as a ratio to its mean."""
+        turns = now_ms / WAVE_PERIOD_MS + self.phases[region]
+        return 1.0 + WAVE_SWING * math.sin(2 * math.pi * turns)
+
+
+@dataclass(slots=True)
+class Call:
+    """Represent one caller's request and how it ended; times in ms."""
+
+    service: ServiceModel
+    key: str
+    region: str
+    domain: str
+    started_ms: int
+    ended_ms: int | None = None
+    retries_left: int = 1
+    refused: bool = False
+
+    def credit(self) -> float:
+        """Return what the answer is worth to the caller."""
+        if self.ended_ms is None:
+            return 0.0
+        if self.ended_ms - self.started_ms <= self.service.target_ms:
+            return self.service.worth
+        return self.service.late_worth
+
+
+@dataclass(slots=True)
+class UpstreamModel:
+    """Run requests on slots; an object that was handled lately is faster."""
+
+    service: ServiceModel
+    rng: random.Random
+    queue_limit: int
+    running: int = 0
+    waiting: deque[object] = field(default_factory=deque)
+    cached: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    hits: int = 0
+    misses: int = 0
+
+    def begin(self, key: str) -> int:
+        """Occupy a slot; return how long the work takes, in ms."""
+        self.running += 1
+        work = self.service.work_ms * self.rng.gauss(1.0, WORK_SPREAD)
+        if key in self.cached:
+            self.hits += 1
+            work *= KNOWN_OBJECT_FRACTION
+        else:
+            self.misses += 1
+        return max(1, int(work))
+
+    def end(self, key: str) -> None:
+        """Free a slot, and remember the object."""
+        self.running -= 1
+        self.cached[key] = None
+        self.cached.move_to_end(key)
+        if len(self.cached) > self.service.cached_objects:
+            self.cached.popitem(last=False)
+
+
+def arrival_gap_ms(rng: random.Random, per_s: float) -> int:
+    """Return a random time between two requests, in ms."""
+    return max(1, round(rng.expovariate(per_s) * MS_PER_SECOND))
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -4,10 +4,10 @@
 
 from bilberry_balance.placement.cold_rate_limiter import ColdRateLimiter
 from bilberry_balance.placement.directory import UpstreamDirectory
+from bilberry_balance.placement.distances import Location
 from bilberry_balance.placement.peer_loads import PeerLoads
 from bilberry_balance.placement.processing_times import ProcessingTimes
 from bilberry_balance.placement.selector import (
-    Location,
     UpstreamRequirements,
     UpstreamSelector,
 )
--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -1,14 +1,18 @@
 """Constants of upstream selection."""
 
-SAME_DOMAIN_COST_MS = 1.0
-SAME_REGION_COST_MS = 12.0
-OTHER_REGION_COST_MS = 120.0
+# Round-trip times until a connect has been measured.
+INITIAL_SAME_DOMAIN_MS = 1.0
+INITIAL_SAME_REGION_MS = 8.0
+INITIAL_OTHER_REGION_MS = 100.0
+ROUND_TRIP_WEIGHT = 0.2
+# Added to the cost of a request that crosses a boundary, as links are shared.
+SAME_REGION_COST_MS = 4.0
+OTHER_REGION_COST_MS = 12.0
 
 LOAD_REPORT_TTL_MS = 150
 PEER_LOAD_TTL_MS = 2_500
 DISTANT_LOAD_WEIGHT = 0.25
 MIN_MEAN_LOAD = 0.05
-OTHER_REGION_RESERVE = 0.1
 # Pools up to this size are compared whole; of others a sample is taken.
 MAX_SCANNED_UPSTREAMS = 24
 SAMPLED_IN_OWN_REGION = 12
@@ -17,6 +21,10 @@
 LIGHT_LOAD = 0.4
 LATE_WAIT_FRACTION = 0.25
 
+# A region that is short of slots leaves this part of its caches free, for
+# objects that come while the other regions are full.
+KEY_FRACTION_OF_SLOTS = 0.7
+
 # Fractions of the extra time of a cache miss, added to the cost of a request
 # at an upstream other than the first-ranked one, where it evicts an object.
 KNOWN_EVICTION_FRACTION = 0.6
@@ -25,6 +33,7 @@
 WARM_KEY_TTL_MS = 20_000
 MAX_WARM_KEYS = 512
 PROCESSING_TIME_WEIGHT = 0.05
+MAX_OBSERVED_RATIO = 3.0
 KNOWN_TARGET_FRACTION = 0.5
 FIRST_RANK_TARGET_FRACTION = 0.8
 SECOND_RANK_TARGET_FRACTION = 1.2
@@ -41,13 +50,15 @@
 SHEDS_TO_BLOCK = 2
 SHED_BLOCK_MS = 500
 
+# Requests that may wait at an upstream, unless it lately shed with fewer.
+MAX_WAITING_PER_SLOT = 1
+SHED_WAITING_TTL_MS = 5_000
+
 # Nodes that may have joined unnoticed, as a fraction of the known nodes.
 UNKNOWN_NODES_FRACTION = 0.6
 COLD_PROCESSING_FACTOR = 2.0
 COLD_RATE_FRACTION = 0.9
 
-START_RATE_WEIGHT = 0.2
-MIN_START_RATE_PER_S = 0.5
 MIN_RETRY_AFTER_MS = 150
 
 CRASH_CONFIRM_MS = 2_000
--- a/packages/bilberry_balance/src/bilberry_balance/placement/costs.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/costs.py
@@ -33,31 +33,38 @@
 
 
 def processing_ms(
-    upstream: Upstream, processing_times: ProcessingTimes, warmth: Warmth, now_ms: int
+    upstream: Upstream,
+    processing_times: ProcessingTimes,
+    warmth: Warmth,
+    is_local: bool,
+    now_ms: int,
 ) -> float:
     """Return the expected processing time of a request in ms."""
-    expected_ms = processing_times.expected_ms(warmth) * upstream.slow_factor(now_ms)
+    expected_ms = processing_times.expected_ms(warmth, is_local)
+    expected_ms *= upstream.slow_factor(now_ms)
     if upstream.is_cold(now_ms):
         expected_ms *= COLD_PROCESSING_FACTOR
     return expected_ms
 
 
 def eviction_cost_ms(
-    processing_times: ProcessingTimes, warmth: Warmth, rank: int
+    processing_times: ProcessingTimes, warmth: Warmth, belongs: bool
 ) -> float:
     """Return the cost of evicting another object from the cache, in ms.
 
-    At rank 0 it is zero: the object belongs in that upstream's cache.
+    It is zero where the object belongs in that upstream's cache.
     """
-    if rank == 0:
+    if belongs:
         return 0.0
-    extra_miss_ms = processing_times.expected_ms(
-        Warmth.OTHER_RANK
-    ) - processing_times.expected_ms(Warmth.KNOWN)
     fraction = NEW_EVICTION_FRACTION
     if warmth is Warmth.KNOWN:
         fraction = KNOWN_EVICTION_FRACTION
-    return fraction * max(0.0, extra_miss_ms)
+    return fraction * processing_times.miss_ms()
+
+
+def slot_interval_ms(upstream: Upstream, processing_times: ProcessingTimes) -> float:
+    """Return the expected time until a slot of a full upstream is free."""
+    return processing_times.expected_ms(Warmth.KNOWN) / upstream.spec.slots
 
 
 def expected_wait_ms(
@@ -71,6 +78,6 @@
     The other waiting requests are assumed to be spread over `upstream_count`
     upstreams. A request that has waited long is expected to wait longer.
     """
-    slot_interval_ms = processing_times.expected_ms(Warmth.KNOWN) / upstream.spec.slots
-    wait = slot_interval_ms * (1.0 + wait_state.queued / upstream_count)
+    interval_ms = slot_interval_ms(upstream, processing_times)
+    wait = interval_ms * (1.0 + wait_state.queued / upstream_count)
     return max(wait, ELAPSED_WAIT_FRACTION * wait_state.waited_ms)
--- a/packages/bilberry_balance/src/bilberry_balance/placement/ranks.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/ranks.py
@@ -3,8 +3,9 @@
 import heapq
 from dataclasses import dataclass, field
 
-from bilberry_core.ids import stable_hash
+from bilberry_core.ids import HASH_SPACE, stable_hash
 
+from .const import KEY_FRACTION_OF_SLOTS
 from .upstream import Upstream
 
 MAX_CACHED_KEYS = 4_096
@@ -18,25 +19,52 @@
 
     by_region: dict[str, list[Upstream]] = field(default_factory=dict)
 
+    def key_fractions(self) -> dict[str, float]:
+        """Return the fraction of all keys that each region takes.
+
+        A region with fewer slots than the mean takes only as many keys as its
+        slots and caches can carry, if each region has the same demand.
+        """
+        slots = {
+            region: sum(upstream.spec.slots for upstream in upstreams)
+            for region, upstreams in self.by_region.items()
+        }
+        mean = sum(slots.values()) / max(1, len(slots))
+        return {
+            region: 1.0 if count >= mean else KEY_FRACTION_OF_SLOTS * count / mean
+            for region, count in slots.items()
+        }
+
+
+@dataclass(slots=True, frozen=True)
+class KeyPlaces:
+    """Store where a key belongs: its ranks by upstream, and its regions."""
+
+    ranks: dict[str, int] = field(default_factory=dict)
+    regions: frozenset[str] = frozenset()
+
+
+NO_PLACES = KeyPlaces()
+
 
 class KeyRanks:
-    """Compute and cache ranks, which are the same on all nodes.
+    """Compute and cache the places of keys, the same on all nodes.
 
     Rank 0 is the preferred upstream for the object in its region. Only the
-    first ranks are kept.
+    first ranks are kept. A short region takes some of the keys only.
     """
 
     __slots__ = ("cached", "pools", "service_pools")
 
     def __init__(self, pools: dict[str, dict[str, Upstream]]) -> None:
         self.pools = pools
-        self.cached: dict[tuple[str, str], dict[str, int]] = {}
+        self.cached: dict[tuple[str, str], KeyPlaces] = {}
         self.service_pools: dict[str, ServicePool] = {}
 
-    def for_key(self, service: str, key: str) -> dict[str, int]:
-        """Return the first ranks by upstream name, empty without a key."""
+    def for_key(self, service: str, key: str) -> KeyPlaces:
+        """Return where a key belongs, nowhere without a key."""
         if not key:
-            return {}
+            return NO_PLACES
         found = self.cached.get((service, key))
         if found is None:
             if len(self.cached) >= MAX_CACHED_KEYS:
@@ -61,9 +89,10 @@
         self.cached.clear()
         self.service_pools.clear()
 
-    def _compute(self, service: str, key: str) -> dict[str, int]:
+    def _compute(self, service: str, key: str) -> KeyPlaces:
         ranks: dict[str, int] = {}
-        for upstreams in self.pool(service).by_region.values():
+        pool = self.pool(service)
+        for upstreams in pool.by_region.values():
             names = [upstream.name for upstream in upstreams]
             first = heapq.nsmallest(
                 RANKED_PER_REGION,
@@ -71,4 +100,9 @@
                 key=lambda name: (stable_hash(key, name), name),
             )
             ranks.update({name: rank for rank, name in enumerate(first)})
-        return ranks
+        regions = frozenset(
+            region
+            for region, fraction in pool.key_fractions().items()
+            if stable_hash(key, region) < fraction * HASH_SPACE
+        )
+        return KeyPlaces(ranks, regions)
--- a/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
@@ -17,8 +17,6 @@
     LIGHT_LOAD,
     MAX_SCANNED_UPSTREAMS,
     OTHER_REGION_COST_MS,
-    OTHER_REGION_RESERVE,
-    SAME_DOMAIN_COST_MS,
     SAME_REGION_COST_MS,
     SAMPLED_IN_OTHER_REGION,
     SAMPLED_IN_OWN_REGION,
@@ -30,24 +28,24 @@
     eviction_cost_ms,
     expected_wait_ms,
     processing_ms,
+    slot_interval_ms,
 )
+from .distances import Distance, Distances, Location
 from .peer_loads import PeerLoads
 from .processing_times import ProcessingTimes, Warmth
-from .ranks import RANKED_PER_REGION, KeyRanks
+from .ranks import RANKED_PER_REGION, KeyPlaces, KeyRanks
 from .upstream import Upstream
 from .warm_index import WarmIndex
 
 FULL_LOAD_COST_MS = 10.0
 
-RegionPicker = Callable[[list[str], int], str | None]
-
-
-@dataclass(slots=True, frozen=True)
-class Location:
-    """Represent the location of a node."""
+BOUNDARY_COSTS_MS = {
+    Distance.SAME_DOMAIN: 0.0,
+    Distance.SAME_REGION: SAME_REGION_COST_MS,
+    Distance.OTHER_REGION: OTHER_REGION_COST_MS,
+}
 
-    failure_domain: str
-    region: str
+RegionPicker = Callable[[list[str], int], str | None]
 
 
 @dataclass(slots=True, frozen=True)
@@ -109,7 +107,8 @@
     """Count a service's upstreams by why they can't take a request.
 
     `closed` upstreams are draining, evacuated or not eligible; `held_back`
-    ones are failing or cold; `full` ones have no free slot.
+    ones are failing or cold; `full` ones have no slot free and enough
+    requests waiting.
     """
 
     known: int = 0
@@ -130,10 +129,13 @@
 
     Of a large pool, a request is compared only at the first-ranked upstreams
     of its key, those that had the key lately, and some others in turns.
+    `is_connected` tells whether a connection to an upstream is idle.
     """
 
     __slots__ = (
         "cold_rate_limiter",
+        "distances",
+        "is_connected",
         "location",
         "peer_loads",
         "pools",
@@ -150,6 +152,8 @@
         cold_rate_limiter: ColdRateLimiter,
     ) -> None:
         self.location = location
+        self.distances = Distances(location)
+        self.is_connected: Callable[[Upstream], bool] = _assume_connected
         self.pools = pools
         self.peer_loads = peer_loads
         self.cold_rate_limiter = cold_rate_limiter
@@ -165,7 +169,7 @@
         now_ms: int,
         wait_state: WaitState = NOT_QUEUED,
     ) -> Selection | NoSelection:
-        """Return the cheapest upstream with a free slot, or a reason.
+        """Return the cheapest upstream that can take the request, or a reason.
 
         Return NO_FREE_SLOT also if it should cost less to wait for a slot of
         an upstream that has the object cached. `pick_region` gets the regions
@@ -188,6 +192,22 @@
         eligible = self._eligible_upstreams(requirements, usable)
         return bool(self._evaluate(requirements, eligible, now_ms, NOT_QUEUED).costs)
 
+    def open_slots(
+        self,
+        requirements: UpstreamRequirements,
+        usable: Callable[[Upstream], bool],
+        now_ms: int,
+    ) -> int:
+        """Return the slots, free or not, of the upstreams that work now."""
+        pool = self.pools.get(requirements.service, {})
+        return sum(
+            upstream.spec.slots
+            for upstream in pool.values()
+            if usable(upstream)
+            and _is_eligible(upstream, requirements)
+            and not upstream.is_blocked(now_ms)
+        )
+
     def count_availability(
         self,
         requirements: UpstreamRequirements,
@@ -203,7 +223,7 @@
                 counts.closed += 1
             elif self._is_held_back(upstream, now_ms):
                 counts.held_back += 1
-            elif not self._has_free_slot(upstream, load / upstream.spec.slots):
+            elif load + 1 > upstream.spec.slots + upstream.max_waiting(now_ms):
                 counts.full += 1
         return counts
 
@@ -228,7 +248,7 @@
     ) -> list[Upstream]:
         """Return the upstreams of a large pool at which to compare."""
         service, key = requirements.service, requirements.key
-        names = dict.fromkeys(self.ranks.for_key(service, key))
+        names = dict.fromkeys(self.ranks.for_key(service, key).ranks)
         names |= dict.fromkeys(self.warm_index.upstreams(service, key))
         start = self.sample_starts.get(service, 0)
         self.sample_starts[service] = start + SAMPLED_IN_OWN_REGION
@@ -259,36 +279,43 @@
         }
         local = [u for u in eligible if self._is_local(u)]
         busy = sum(loads[u.name] for u in local) >= BUSY_LOAD * max(1, len(local))
-        ranks = (
-            self.ranks.for_key(requirements.service, requirements.key)
-            if eligible
-            else {}
-        )
+        places = self.ranks.for_key(requirements.service, requirements.key)
         unranked = RANKED_PER_REGION if requirements.key else 0
         local_count = self._local_count(requirements.service)
         candidates = RegionCandidates()
         for upstream in eligible:
             if self._is_held_back(upstream, now_ms):
                 continue
-            rank = ranks.get(upstream.name, unranked)
+            rank = places.ranks.get(upstream.name, unranked)
+            belongs = self._belongs(requirements, places, upstream)
             warmth = _warmth(upstream, requirements.key, rank, now_ms)
             expected_ms = processing_ms(
-                upstream, requirements.processing_times, warmth, now_ms
+                upstream,
+                requirements.processing_times,
+                warmth,
+                self._is_local(upstream),
+                now_ms,
             )
             cost_ms = expected_ms + self._distance_cost_ms(upstream)
-            cost_ms += eviction_cost_ms(requirements.processing_times, warmth, rank)
+            cost_ms += eviction_cost_ms(
+                requirements.processing_times, warmth, belongs and rank == 0
+            )
             load = loads[upstream.name]
-            if self._has_free_slot(upstream, load):
-                if self._accepts_object(upstream, warmth, busy):
-                    selection = Selection(upstream, warmth, expected_ms)
-                    candidates.add(selection, cost_ms + FULL_LOAD_COST_MS * load)
-                    if wait_state.is_late and load < LIGHT_LOAD:
-                        candidates.lightly_loaded.add(upstream.spec.region)
-            elif self._is_worth_waiting_for(upstream, warmth, now_ms):
-                cost_ms += expected_wait_ms(
-                    upstream, requirements.processing_times, wait_state, local_count
+            ahead = self._requests_ahead(upstream, warmth, belongs, load, now_ms)
+            if ahead is None:
+                if self._is_worth_waiting_for(upstream, warmth, now_ms):
+                    cost_ms += expected_wait_ms(
+                        upstream, requirements.processing_times, wait_state, local_count
+                    )
+                    candidates.wait_cost_ms = min(candidates.wait_cost_ms, cost_ms)
+            elif self._accepts_object(upstream, warmth, busy):
+                cost_ms += ahead * slot_interval_ms(
+                    upstream, requirements.processing_times
                 )
-                candidates.wait_cost_ms = min(candidates.wait_cost_ms, cost_ms)
+                selection = Selection(upstream, warmth, expected_ms)
+                candidates.add(selection, cost_ms + FULL_LOAD_COST_MS * load)
+                if wait_state.is_late and load < LIGHT_LOAD:
+                    candidates.lightly_loaded.add(upstream.spec.region)
         return candidates
 
     def _local_count(self, service: str) -> int:
@@ -298,6 +325,17 @@
     def _is_local(self, upstream: Upstream) -> bool:
         return upstream.spec.region == self.location.region
 
+    def _belongs(
+        self, requirements: UpstreamRequirements, places: KeyPlaces, upstream: Upstream
+    ) -> bool:
+        """Return whether the key belongs in the upstream's region.
+
+        A request that is bound to some regions belongs in all of them.
+        """
+        if not requirements.key or requirements.home_regions:
+            return True
+        return upstream.spec.region in places.regions
+
     def _accepts_object(self, upstream: Upstream, warmth: Warmth, busy: bool) -> bool:
         """Return whether the upstream may take an object of this warmth.
 
@@ -326,16 +364,36 @@
             return False
         return warmth is Warmth.KNOWN or warmth is Warmth.FIRST_RANK
 
-    def _has_free_slot(self, upstream: Upstream, load: float) -> bool:
-        max_load = 1.0
-        if not self._is_local(upstream):
-            max_load -= OTHER_REGION_RESERVE
-        return load + 1 / upstream.spec.slots <= max_load
+    def _requests_ahead(
+        self,
+        upstream: Upstream,
+        warmth: Warmth,
+        belongs: bool,
+        load: float,
+        now_ms: int,
+    ) -> float | None:
+        """Return how many requests wait there before it, None if too many.
+
+        Only a request that is likely to be fast there waits at an upstream:
+        it gets a slot the moment one is free, wherever its node is.
+        """
+        ahead = (load - 1.0) * upstream.spec.slots + 1
+        if ahead <= 0:
+            return 0.0
+        if warmth is Warmth.KNOWN or (warmth is Warmth.FIRST_RANK and belongs):
+            return ahead if ahead <= upstream.max_waiting(now_ms) else None
+        return None
 
     def _distance_cost_ms(self, upstream: Upstream) -> float:
-        if upstream.spec.failure_domain == self.location.failure_domain:
-            return SAME_DOMAIN_COST_MS
-        return SAME_REGION_COST_MS if self._is_local(upstream) else OTHER_REGION_COST_MS
+        """Return the cost of the way to an upstream, and of a connect."""
+        cost_ms = self.distances.round_trip_ms(upstream.spec)
+        if not self.is_connected(upstream):
+            cost_ms *= 2
+        return cost_ms + BOUNDARY_COSTS_MS[self.distances.between(upstream.spec)]
+
+
+def _assume_connected(upstream: Upstream) -> bool:
+    return True
 
 
 def _is_eligible(upstream: Upstream, requirements: UpstreamRequirements) -> bool:
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -9,9 +9,11 @@
     LOAD_REPORT_TTL_MS,
     MAX_BLOCK_MS,
     MAX_SLOW_RATIO,
+    MAX_WAITING_PER_SLOT,
     MAX_WARM_KEYS,
     MIN_SLOW_RATIO,
     SHED_BLOCK_MS,
+    SHED_WAITING_TTL_MS,
     SHEDS_TO_BLOCK,
     SLOW_HALF_LIFE_MS,
     SLOW_RATIO_WEIGHT,
@@ -40,8 +42,9 @@
     """Store the state of one upstream as seen by this node.
 
     `reported_peer_load` is the number of requests of other nodes in its newest
-    load report. `unreachable` is set from a failed connect until the next
-    answer.
+    load report. `shed_waiting` is how many waited there when it last turned a
+    request away for being full. `unreachable` is set from a failed connect
+    until the next answer.
     """
 
     spec: UpstreamSpec
@@ -58,6 +61,8 @@
     slow_ratio: float = 1.0
     slow_ratio_at_ms: int = 0
     warm_keys: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    shed_waiting: int = 0
+    shed_at_ms: int | None = None
 
     @property
     def name(self) -> str:
@@ -83,6 +88,14 @@
             return self.in_flight + self.reported_peer_load
         return self.in_flight + peers_load
 
+    def max_waiting(self, now_ms: int) -> int:
+        """Return how many requests may wait there for a slot."""
+        limit = self.spec.slots * MAX_WAITING_PER_SLOT
+        shed_at_ms = self.shed_at_ms
+        if shed_at_ms is None or now_ms - shed_at_ms >= SHED_WAITING_TTL_MS:
+            return limit
+        return min(limit, self.shed_waiting)
+
     def report_age_ms(self, now_ms: int) -> int:
         """Return the age of its newest load report, or -1 without one."""
         return now_ms - self.reported_at_ms if self.reported_at_ms >= 0 else -1
@@ -100,9 +113,14 @@
             self.unreachable = False
             self.cold_until_ms = max(self.cold_until_ms, now_ms + cold_start_ms)
 
-    def on_shed(self, has_free_slot: bool, now_ms: int) -> None:
-        """Record a shed request; shedding with free slots is a failure."""
+    def on_shed(self, has_free_slot: bool, waiting: int, now_ms: int) -> None:
+        """Record a shed request; shedding with free slots is a failure.
+
+        Otherwise it lets no more than the `waiting` ones wait for a while.
+        """
         if not has_free_slot:
+            self.shed_waiting = waiting
+            self.shed_at_ms = now_ms
             self.reported_peer_load = max(self.reported_peer_load, self.spec.slots)
             self.reported_at_ms = now_ms
             return
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -1,9 +1,11 @@
 """Update the state of upstreams from the outcomes of attempts."""
 
 import logging
+from dataclasses import dataclass
 from http import HTTPStatus
 
 from bilberry_balance.outcomes import FailurePoint
+from bilberry_balance.placement.distances import Distance
 from bilberry_balance.placement.processing_times import ProcessingTimes
 from bilberry_balance.placement.selector import Selection
 from bilberry_balance.placement.upstream import Upstream
@@ -24,6 +26,15 @@
 )
 
 
+@dataclass(slots=True, frozen=True)
+class LoadReport:
+    """Represent an upstream's running and waiting requests, and its slots."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
 class OutcomeRecorder:
     """Apply the outcomes of attempts to the state of upstreams."""
 
@@ -44,7 +55,9 @@
         upstream = selection.upstream
         now_ms = self.state.clock.now_ms()
         point = outcome.point
-        has_free_slot = self._record_load(upstream, outcome, now_ms)
+        if outcome.connect_ms is not None:
+            self.state.selector.distances.observe(upstream.spec, outcome.connect_ms)
+        load = self._record_load(upstream, outcome, now_ms)
         if point is None:
             pool = self.state.pool(upstream.spec.service)
             upstream.on_answer(pool.cold_start_ms, now_ms)
@@ -54,7 +67,7 @@
         elif point is FailurePoint.DURING_CONNECT:
             self._record_unreachable(upstream, outcome, now_ms)
         elif point is FailurePoint.SHED_NOT_RUN:
-            self._record_shed(upstream, outcome, has_free_slot, now_ms)
+            self._record_shed(upstream, outcome, load, now_ms)
         elif point in UPSTREAM_FAILURE_POINTS:
             upstream.on_failure(now_ms)
         elif point is FailurePoint.DEADLINE_AFTER_SEND:
@@ -83,7 +96,7 @@
         self,
         upstream: Upstream,
         outcome: ExchangeOutcome,
-        has_free_slot: bool,
+        load: LoadReport | None,
         now_ms: int,
     ) -> None:
         parser = outcome.parser
@@ -93,7 +106,8 @@
             )
             upstream.draining = True
             return
-        upstream.on_shed(has_free_slot, now_ms)
+        has_free_slot = load is not None and load.running < load.slots
+        upstream.on_shed(has_free_slot, load.waiting if load else 0, now_ms)
 
     def _record_processing_time(
         self,
@@ -108,23 +122,29 @@
             return
         if selection.upstream.is_cold(now_ms):
             return
-        ratio = processing_times.observe(selection.warmth, took_ms)
+        spec = selection.upstream.spec
+        distances = self.state.selector.distances
+        way_ms = distances.round_trip_ms(spec) + (outcome.connect_ms or 0)
+        is_local = distances.between(spec) is not Distance.OTHER_REGION
+        ratio = processing_times.observe(
+            selection.warmth, max(0.0, took_ms - way_ms), is_local
+        )
         selection.upstream.on_processing_time(ratio, now_ms)
 
     def _record_load(
         self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
-    ) -> bool:
-        """Record an answer's load header; return whether slots were free."""
+    ) -> LoadReport | None:
+        """Record and return what an answer's load header tells."""
         parser = outcome.parser
         text = parser.first(self.header_names.load.lower()) if parser else None
         if text is None:
-            return False
+            return None
         numbers = [part.strip() for part in text.split(",")]
         if len(numbers) != LOAD_HEADER_FIELDS or not all(n.isdigit() for n in numbers):
             _LOGGER.warning(
                 "entry: Invalid load header of upstream %s: %s.", upstream.name, text
             )
-            return False
-        running, waiting, slots = (int(number) for number in numbers)
-        upstream.on_report(running, waiting, now_ms)
-        return running < slots
+            return None
+        load = LoadReport(*(int(number) for number in numbers))
+        upstream.on_report(load.running, load.waiting, now_ms)
+        return load
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -89,6 +89,7 @@
     """Represent a complete answer, or the point of failure.
 
     `is_first_use` is whether the connection carried no request before, and
+    `connect_ms` how long its connect took if this attempt made it.
     `received_bytes` counts all bytes of the answer, heads included.
     """
 
@@ -97,6 +98,7 @@
     body: bytes = b""
     reason: str = ""
     is_first_use: bool = False
+    connect_ms: int | None = None
     received_bytes: int = 0
 
 
@@ -121,21 +123,34 @@
                 connection.close()
         self.idle.clear()
 
+    def has_idle(self, address: str) -> bool:
+        """Return whether a connection to `address` may be used again."""
+        connections = self.idle.get(address)
+        if not connections:
+            return False
+        newest = connections[-1]
+        age_ms = self.clock.now_ms() - newest.idle_since_ms
+        return age_ms < newest.idle_limit_ms
+
     def exchange(self, address: str, attempt: Attempt) -> ExchangeOutcome:
         """Send the request to `address` and return the outcome."""
         connection = self._take_idle(address, attempt.idempotent)
         is_first_use = connection is None
+        connect_ms = None
         if connection is None:
+            started_ms = self.clock.now_ms()
             connected = self._connect(address, attempt)
             if isinstance(connected, ExchangeOutcome):
                 return connected
             connection = connected
+            connect_ms = self.clock.now_ms() - started_ms
         attempt.connection = connection
         try:
             outcome = self._send(connection, attempt)
         finally:
             attempt.connection = None
         outcome.is_first_use = is_first_use
+        outcome.connect_ms = connect_ms
         parser = outcome.parser
         if outcome.point is None and parser is not None and _may_reuse(parser):
             self._keep_idle(address, connection, parser)
--- a/packages/bilberry_router/src/bilberry_router/entry/counts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/counts.py
@@ -5,8 +5,8 @@
 from enum import StrEnum, auto
 from http import HTTPStatus
 
+from bilberry_balance.placement.distances import Distance
 from bilberry_balance.placement.processing_times import Warmth
-from bilberry_balance.placement.selector import Location
 from bilberry_balance.placement.upstream import Upstream
 from bilberry_core.histogram import Histogram
 
@@ -27,14 +27,6 @@
     REJECTED = auto()
 
 
-class Distance(StrEnum):
-    """Enumerate how far an upstream is from the node."""
-
-    SAME_DOMAIN = auto()
-    SAME_REGION = auto()
-    OTHER_REGION = auto()
-
-
 class Direction(StrEnum):
     """Enumerate the directions of the traffic with upstreams."""
 
@@ -118,10 +110,9 @@
         self.bytes[TrafficLabels(Direction.RECEIVED, distance)] += received
 
     def record_placement(
-        self, upstream: Upstream, warmth: Warmth, location: Location
+        self, upstream: Upstream, warmth: Warmth, distance: Distance
     ) -> None:
         """Count a request that was placed at an upstream."""
-        distance = distance_between(upstream, location)
         labels = PlacementLabels(upstream.spec.service, warmth, distance)
         self.placements[labels] += 1
 
@@ -136,12 +127,3 @@
     if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         return AnswerKind.UNKNOWN
     return AnswerKind.REJECTED
-
-
-def distance_between(upstream: Upstream, location: Location) -> Distance:
-    """Return how far an upstream is from `location`."""
-    if upstream.spec.failure_domain == location.failure_domain:
-        return Distance.SAME_DOMAIN
-    if upstream.spec.region == location.region:
-        return Distance.SAME_REGION
-    return Distance.OTHER_REGION
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -4,6 +4,7 @@
 
 from bilberry_balance.outcomes import FailureDecision, FailurePoint, decide_on_failure
 from bilberry_balance.placement.admission import Refusal
+from bilberry_balance.placement.processing_times import Warmth
 from bilberry_balance.placement.selector import Selection, UpstreamRequirements
 from bilberry_resources.routing import RouteRule
 from bilberry_steering.route_table import RouteEntry
@@ -19,7 +20,6 @@
     END_ANSWERED,
     END_UPSTREAM_FAILED,
     NO_SERVICE,
-    distance_between,
 )
 from .events import UPSTREAM_ANSWER_CAUSE, AttemptFailed, RequestEnded, log_event
 from .heads import encode_request
@@ -256,7 +256,7 @@
         counts = self.state.counts
         counts.record_attempt(active.service, end, took_ms)
         if attempt.sent:
-            distance = distance_between(upstream, self.state.location)
+            distance = self.state.selector.distances.between(upstream.spec)
             counts.record_traffic(len(attempt.data), outcome.received_bytes, distance)
         processing_times = self.state.processing_times(active.rule, active.service)
         self.record_crash_evidence(active, selection, outcome)
@@ -284,7 +284,7 @@
             return False
         now_ms = self.state.clock.now_ms()
         processing_times = self.state.processing_times(active.rule, active.service)
-        if active.remaining_ms(now_ms) < processing_times.means[0]:
+        if active.remaining_ms(now_ms) < processing_times.expected_ms(Warmth.KNOWN):
             return False
         return self.state.retry_budget(active.service).try_take(now_ms)
 
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -6,7 +6,8 @@
 import gevent
 from gevent import Greenlet
 
-from bilberry_balance.placement.selector import Location
+from bilberry_balance.placement.distances import Location
+from bilberry_balance.placement.upstream import Upstream
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.ids import stable_hash
@@ -87,6 +88,7 @@
         self.state = EntryState(name, location, shared_limits, clock)
         self.placer = Placer(self.state)
         self.connections = ConnectionPool(platform.header_names.request_id, clock)
+        self.state.selector.is_connected = self.is_connected
         self.forwarder = Forwarder(
             self.state, self.placer, self.connections, platform.header_names
         )
@@ -119,6 +121,10 @@
         )
         return known and not self.draining
 
+    def is_connected(self, upstream: Upstream) -> bool:
+        """Return whether a connection to an upstream is idle."""
+        return self.connections.has_idle(upstream.spec.address)
+
     def start(self) -> None:
         """Start the listeners and the feeds from the platform."""
         for feed in self.feeds:
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -7,7 +7,11 @@
 from gevent import Greenlet
 from gevent.event import AsyncResult
 
-from bilberry_balance.placement.admission import Refusal, StartRate, admit
+from bilberry_balance.placement.admission import (
+    Refusal,
+    admit,
+    expected_queue_wait_ms,
+)
 from bilberry_balance.placement.const import LATE_WAIT_FRACTION
 from bilberry_balance.placement.costs import WaitState
 from bilberry_balance.placement.processing_times import Warmth
@@ -50,14 +54,6 @@
             self.granted.set(None)
 
 
-@dataclass(slots=True)
-class ServiceQueue:
-    """Store the queue of one service and its start rate."""
-
-    queue: WaitQueue[PlacementRequest] = field(default_factory=WaitQueue)
-    rate: StartRate = field(default_factory=StartRate)
-
-
 @dataclass(slots=True, frozen=True)
 class WaitLimits:
     """Store the latest start within the objective, and the latest at all."""
@@ -82,7 +78,7 @@
 
     def __init__(self, state: EntryState) -> None:
         self.state = state
-        self.queues: dict[str, ServiceQueue] = {}
+        self.queues: dict[str, WaitQueue[PlacementRequest]] = {}
         self.task: Greenlet | None = None
 
     def start(self) -> None:
@@ -111,61 +107,82 @@
 
         `on_disconnect` gets a function to call when the caller disconnects.
         """
-        service_queue = self.queues.setdefault(
-            request.requirements.service, ServiceQueue()
-        )
         now_ms = self.state.clock.now_ms()
-        if not service_queue.queue.count_ahead(request.priority):
+        begun = self.begin(request, now_ms)
+        if not isinstance(begun, QueueEntry):
+            return begun
+        on_disconnect(request.abandon)
+        return self.wait_for_slot(begun, now_ms)
+
+    def begin(
+        self, request: PlacementRequest, now_ms: int
+    ) -> Selection | Refusal | QueueEntry[PlacementRequest]:
+        """Select an upstream, refuse the request or queue it."""
+        queue = self.queue_for(request)
+        if not queue.count_ahead(request.priority):
             selection = self.try_place(request, now_ms)
             if isinstance(selection, Selection):
-                service_queue.rate.record_start(now_ms)
                 return selection
             if selection is NoSelection.NO_UPSTREAM:
                 return Refusal(DEFAULT_RETRY_AFTER_MS)
-        return self.queue_request(request, service_queue, on_disconnect, now_ms)
-
-    def queue_request(
-        self,
-        request: PlacementRequest,
-        service_queue: ServiceQueue,
-        on_disconnect: Callable[[Callable[[], None]], None],
-        now_ms: int,
-    ) -> Selection | Refusal:
-        """Queue a request until it gets a slot or waits too long."""
         processing_ms = request.requirements.processing_times.expected_ms(Warmth.KNOWN)
-        expected_ms = service_queue.rate.expected_wait_ms(
-            service_queue.queue.count_ahead(request.priority), now_ms
-        )
         limits = wait_limits(request, int(processing_ms))
+        expected_ms = self.expected_wait_ms(request, now_ms)
         refusal = admit(expected_ms, limits.give_up_at_ms - now_ms)
         if refusal is not None and not self.has_free_slot(request.requirements, now_ms):
             return refusal
-        on_disconnect(request.abandon)
-        selection = self.wait_for_slot(request, service_queue, limits, now_ms)
-        return selection or Refusal(max(DEFAULT_RETRY_AFTER_MS, expected_ms))
-
-    def wait_for_slot(
-        self,
-        request: PlacementRequest,
-        service_queue: ServiceQueue,
-        limits: WaitLimits,
-        now_ms: int,
-    ) -> Selection | None:
-        """Return the slot granted to a queued request, or None on timeout."""
         entry = QueueEntry(
             request, request.priority, limits.in_time_until_ms, limits.give_up_at_ms
         )
-        service_queue.queue.push(entry)
+        queue.push(entry)
         self.start_queued(request.requirements.service)
-        wait_s = max(0, limits.give_up_at_ms - now_ms) / MS_PER_SECOND
+        return entry
+
+    def wait_for_slot(
+        self, entry: QueueEntry[PlacementRequest], now_ms: int
+    ) -> Selection | Refusal:
+        """Return the slot granted to a queued request, or a refusal."""
+        request = entry.item
+        wait_s = max(0, entry.give_up_at_ms - now_ms) / MS_PER_SECOND
         request.granted.wait(timeout=wait_s)
-        service_queue.queue.discard(entry)
-        waited_ms = self.state.clock.now_ms() - now_ms
-        self.state.counts.for_service(request.requirements.service).queueing.observe(
-            waited_ms
+        return self.end_wait(entry, now_ms)
+
+    def end_wait(
+        self, entry: QueueEntry[PlacementRequest], queued_at_ms: int
+    ) -> Selection | Refusal:
+        """Take a request off its queue; return its slot, or a refusal."""
+        request = entry.item
+        queue = self.queue_for(request)
+        queue.discard(entry)
+        now_ms = self.state.clock.now_ms()
+        histograms = self.state.counts.for_service(request.requirements.service)
+        histograms.queueing.observe(now_ms - queued_at_ms)
+        if request.granted.value is not None:
+            selection: Selection = request.granted.value
+            return selection
+        expected_ms = self.expected_wait_ms(request, now_ms)
+        return Refusal(max(DEFAULT_RETRY_AFTER_MS, expected_ms))
+
+    def expected_wait_ms(self, request: PlacementRequest, now_ms: int) -> int:
+        """Return how long a new request would wait behind those queued.
+
+        Return 0 until the processing time of such requests is known.
+        """
+        state = self.state
+        requirements = request.requirements
+        if not requirements.processing_times.is_measured:
+            return 0
+        ahead = self.queue_for(request).count_ahead(request.priority)
+        slots = state.selector.open_slots(
+            requirements, state.upstreams.accepts_requests, now_ms
         )
-        selection: Selection | None = request.granted.value
-        return selection
+        processing_ms = requirements.processing_times.expected_ms(Warmth.KNOWN)
+        return expected_queue_wait_ms(ahead, state.known_nodes, slots, processing_ms)
+
+    def queue_for(self, request: PlacementRequest) -> WaitQueue[PlacementRequest]:
+        """Return the queue of a request's service, created if missing."""
+        service = request.requirements.service
+        return self.queues.setdefault(service, WaitQueue())
 
     def has_free_slot(self, requirements: UpstreamRequirements, now_ms: int) -> bool:
         """Return whether any upstream has a free slot, whatever its cost."""
@@ -176,8 +193,8 @@
 
     def start_queued(self, service: str) -> None:
         """Start queued requests that find a slot, in their order."""
-        service_queue = self.queues.get(service)
-        if service_queue is None or not service_queue.queue.entries:
+        queue = self.queues.get(service)
+        if queue is None or not queue.entries:
             return
         now_ms = self.state.clock.now_ms()
 
@@ -185,11 +202,10 @@
             selection = self.try_place(request, now_ms)
             if not isinstance(selection, Selection):
                 return False
-            service_queue.rate.record_start(now_ms)
             request.granted.set(selection)
             return True
 
-        service_queue.queue.start_next(try_start, now_ms, MAX_QUEUE_MISSES)
+        queue.start_next(try_start, now_ms, MAX_QUEUE_MISSES)
 
     def try_place(
         self, request: PlacementRequest, now_ms: int
@@ -208,8 +224,9 @@
         )
         if isinstance(selection, Selection):
             self.reserve(selection.upstream, requirements, now_ms)
+            distance = state.selector.distances.between(selection.upstream.spec)
             state.counts.record_placement(
-                selection.upstream, selection.warmth, state.location
+                selection.upstream, selection.warmth, distance
             )
         return selection
 
@@ -223,8 +240,8 @@
 
     def queue_length(self, service: str) -> int:
         """Return how many requests are queued for a service."""
-        service_queue = self.queues.get(service)
-        return len(service_queue.queue.entries) if service_queue else 0
+        queue = self.queues.get(service)
+        return len(queue.entries) if queue else 0
 
     def availability(self, request: PlacementRequest) -> AvailabilityView:
         """Return why a service's upstreams can't take a request."""
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -5,9 +5,10 @@
 from bilberry_balance.placement.cold_rate_limiter import ColdRateLimiter
 from bilberry_balance.placement.crashes import CrashDetector
 from bilberry_balance.placement.directory import UpstreamDirectory
+from bilberry_balance.placement.distances import Location
 from bilberry_balance.placement.peer_loads import PeerLoads
 from bilberry_balance.placement.processing_times import ProcessingTimes
-from bilberry_balance.placement.selector import Location, UpstreamSelector
+from bilberry_balance.placement.selector import UpstreamSelector
 from bilberry_balance.retry import RetryBudget
 from bilberry_core.clock import Clock
 from bilberry_core.ids import stable_hash
--- a/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
@@ -1,4 +1,4 @@
-"""Simulate an upstream that runs requests in slots."""
+"""Simulate an upstream that runs requests in slots and queues a few."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -58,10 +58,13 @@
         "faults",
         "header_names",
         "name",
+        "queue_limit",
         "running",
         "served_requests",
         "server",
+        "slot_free",
         "slots",
+        "waiting",
         "warm_keys",
         "work_ms",
     )
@@ -74,6 +77,7 @@
         slots: int = 4,
         work_ms: int = DEFAULT_WORK_MS,
         address: tuple[str, int] = ("127.0.0.1", 0),
+        queue_limit: int = 0,
     ) -> None:
         self.name = name
         self.header_names = names
@@ -81,6 +85,9 @@
         self.slots = slots
         self.work_ms = work_ms
         self.running = 0
+        self.waiting = 0
+        self.queue_limit = queue_limit
+        self.slot_free = Event()
         self.served_requests: list[ServedRequest] = []
         self.warm_keys: set[str] = set()
         self.faults = UpstreamFaults()
@@ -135,10 +142,11 @@
         if expected not in (None, self.name):
             sock.sendall(b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")
             return True
-        if self.faults.shed_next > 0 or self.running >= self.slots:
+        if self.faults.shed_next > 0 or self._is_full():
             self.faults.shed_next -= 1
             sock.sendall(self._build_shed_answer())
             return True
+        self._wait_for_slot()
         served = self._run(head, body)
         if self.faults.script:
             raw = self.faults.script.pop(0)
@@ -163,11 +171,20 @@
             "HTTP/1.1 200 OK",
             f"{self.header_names.request_id}: {served.request_id}",
             f"{self.header_names.digest}: digest-of-{served.request_id}",
-            f"{self.header_names.load}: {self.running},0,{self.slots}",
+            f"{self.header_names.load}: {self.running},{self.waiting},{self.slots}",
             f"Content-Length: {len(body)}",
         ]
         return "\r\n".join(lines).encode() + END_OF_HEAD + body
 
+    def _is_full(self) -> bool:
+        return self.running >= self.slots and self.waiting >= self.queue_limit
+
+    def _wait_for_slot(self) -> None:
+        self.waiting += 1
+        while self.running >= self.slots:
+            self.slot_free.wait()
+        self.waiting -= 1
+
     def _run(self, head: RequestHead, body: bytes) -> ServedRequest:
         names = self.header_names
         served = ServedRequest(
@@ -190,13 +207,15 @@
             gevent.sleep(work_ms / MS_PER_SECOND)
         finally:
             self.running -= 1
+            self.slot_free.set()
+            self.slot_free.clear()
         return served
 
     def _build_shed_answer(self) -> bytes:
         lines = [
             "HTTP/1.1 503 Service Unavailable",
             f"{self.header_names.not_run}: 1",
-            f"{self.header_names.load}: {self.running},0,{self.slots}",
+            f"{self.header_names.load}: {self.running},{self.waiting},{self.slots}",
             "Content-Length: 0",
         ]
         return "\r\n".join(lines).encode() + END_OF_HEAD
--- a/tests/bilberry_platform/common.py
+++ b/tests/bilberry_platform/common.py
@@ -1,6 +1,6 @@
 """Helpers that run complete nodes with a fake store and upstreams."""
 
-from bilberry_balance.placement.selector import Location
+from bilberry_balance.placement.distances import Location
 from bilberry_core.clock import SystemClock
 from bilberry_platform.config import decode_config
 from bilberry_platform.const import (
