Tell refused callers to come back when a slot is expected, spread

Cause: a caller whose request an upstream turned away, with room elsewhere, was told to come back after 1,000 ms, twice the objective of the fastest kind of request; all refused together came back together.

Change: Retry-After is the expected wait for a slot, 50 ms at least, and up to half longer by a hash of the request's id.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/admission.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/admission.py
@@ -2,7 +2,9 @@
 
 from dataclasses import dataclass
 
-from .const import MIN_RETRY_AFTER_MS
+from bilberry_core.ids import HASH_SPACE, stable_hash
+
+from .const import MIN_RETRY_AFTER_MS, RETRY_AFTER_SPREAD
 
 
 def expected_queue_wait_ms(
@@ -19,6 +21,16 @@
     return int((ahead + 1) * nodes * processing_ms / slots)
 
 
+def spread_retry_after_ms(expected_wait_ms: int, request_id: str) -> int:
+    """Return when a refused caller should come back, in ms.
+
+    Callers that were refused together come back one after the other.
+    """
+    wait_ms = max(MIN_RETRY_AFTER_MS, expected_wait_ms)
+    fraction = stable_hash(request_id) / HASH_SPACE
+    return int(wait_ms * (1 + RETRY_AFTER_SPREAD * fraction))
+
+
 @dataclass(slots=True, frozen=True)
 class Refusal:
     """Represent a refusal; the caller may retry after `retry_after_ms`."""
--- a/packages/bilberry_router/src/bilberry_router/entry/answers.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/answers.py
@@ -27,12 +27,17 @@
     return answer
 
 
-def failure_answer(outcome: ExchangeOutcome, decision: FailureDecision) -> EntryAnswer:
-    """Return this node's answer after a failed attempt."""
+def failure_answer(
+    outcome: ExchangeOutcome, decision: FailureDecision, retry_after_ms: int
+) -> EntryAnswer:
+    """Return this node's answer after a failed attempt.
+
+    The caller may retry after `retry_after_ms` if nothing has run.
+    """
     assert outcome.point is not None
     detail = f"{outcome.point.value} {outcome.reason}".strip()
     if decision.retry_after_ms is not None:
-        return refusal_answer(detail, decision.retry_after_ms)
+        return refusal_answer(detail, retry_after_ms)
     return local_answer(decision.status, detail)
 
 
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -3,7 +3,7 @@
 from http import HTTPStatus
 
 from bilberry_balance.outcomes import FailureDecision, FailurePoint, decide_on_failure
-from bilberry_balance.placement.admission import Refusal
+from bilberry_balance.placement.admission import Refusal, spread_retry_after_ms
 from bilberry_balance.placement.processing_times import Warmth
 from bilberry_balance.placement.selector import Selection, UpstreamRequirements
 from bilberry_resources.routing import RouteRule
@@ -217,7 +217,9 @@
             self.log_attempt_failure(active, placed, record)
             active.may_have_run = decision.may_have_run
             if not decision.retry:
-                return active.upstream_error or failure_answer(outcome, decision)
+                return active.upstream_error or failure_answer(
+                    outcome, decision, self.retry_after_ms(active)
+                )
             if outcome.point not in UNSENT_POINTS:
                 budget = self.state.retry_budget(active.service)
                 budget.try_take(self.state.clock.now_ms())
@@ -312,7 +314,21 @@
             return active.upstream_error
         if active.may_have_run:
             return local_answer(HTTPStatus.BAD_GATEWAY, "the answer was lost")
-        return refusal_answer("no room", refusal.retry_after_ms)
+        retry_after_ms = spread_retry_after_ms(
+            refusal.retry_after_ms, active.request_id
+        )
+        return refusal_answer("no room", retry_after_ms)
+
+    def retry_after_ms(self, active: ActiveRequest) -> int:
+        """Return when a request that an upstream refused may come back.
+
+        Other upstreams may have room now, so that it needn't wait longer
+        than those that are queued.
+        """
+        expected_ms = self.placer.expected_wait_ms(
+            self.placement_request(active), self.state.clock.now_ms()
+        )
+        return spread_retry_after_ms(expected_ms, active.request_id)
 
     def placement_request(self, active: ActiveRequest) -> PlacementRequest:
         """Return the placement request for the next attempt."""
--- a/tests/bilberry_router/entry/test_forwarder.py
+++ b/tests/bilberry_router/entry/test_forwarder.py
@@ -357,3 +357,14 @@
         assert rig.queued == 0
         release.set()
         assert [client.answer().status for client in clients] == [200] * 2
+
+
+def test_a_request_that_an_upstream_refused_may_come_back_at_once_if_there_is_room():
+    with Rig(count=2) as rig:
+        for upstream in rig.upstreams:
+            upstream.faults.shed_next = 9
+        answers = [rig.ask("/read/x", request_id=f"r{index}") for index in range(3)]
+        assert {answer.status for answer in answers} == {503}
+        times = [float(answer.headers["retry-after"]) for answer in answers]
+        assert max(times) < 0.5
+        assert len(set(times)) > 1
