Keep in http/ what both request paths read answers with

entry/ took the response parser and constants of HTTP from forward/, and both had constants of their own with the same value. The parser and what it needs move to http/; each constant stands once. Behaviour stays; tests of the router, the balance and the platform pass.

--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -8,12 +8,9 @@
 from typing import Any
 
 from bilberry_balance.placement.admission import Refusal
+from bilberry_balance.placement.candidates import Selection, UpstreamRequirements
 from bilberry_balance.placement.distances import Distance, Location
 from bilberry_balance.placement.queue import QueueEntry
-from bilberry_balance.placement.selector import (
-    Selection,
-    UpstreamRequirements,
-)
 from bilberry_balance.placement.upstream import Upstream, UpstreamSpec
 from bilberry_core.clock import ManualClock
 from bilberry_core.const import MS_PER_SECOND
--- a/bench/scale.py
+++ b/bench/scale.py
@@ -2,15 +2,13 @@
 
 import time
 
+from bilberry_balance.placement.candidates import UpstreamRequirements
 from bilberry_balance.placement.cold_rate_limiter import ColdRateLimiter
 from bilberry_balance.placement.directory import UpstreamDirectory
 from bilberry_balance.placement.distances import Location
 from bilberry_balance.placement.peer_loads import PeerLoads
 from bilberry_balance.placement.processing_times import ProcessingTimes
-from bilberry_balance.placement.selector import (
-    UpstreamRequirements,
-    UpstreamSelector,
-)
+from bilberry_balance.placement.selector import UpstreamSelector
 from bilberry_balance.placement.upstream import UpstreamSpec
 from bilberry_testing.machines.network import SimulatedNetwork
 
--- a/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
@@ -7,10 +7,15 @@
 of load.
 """
 
-from collections.abc import Callable, Collection
-from dataclasses import dataclass, field
-from enum import StrEnum
-
+from collections.abc import Callable
+
+from .candidates import (
+    AvailabilityCounts,
+    NoSelection,
+    RegionCandidates,
+    Selection,
+    UpstreamRequirements,
+)
 from .cold_rate_limiter import ColdRateLimiter
 from .const import (
     BUSY_LOAD,
@@ -22,7 +27,6 @@
     SAMPLED_IN_OWN_REGION,
 )
 from .costs import (
-    INFINITE_COST_MS,
     NOT_QUEUED,
     WaitState,
     eviction_cost_ms,
@@ -32,7 +36,7 @@
 )
 from .distances import Distance, Distances, Location
 from .peer_loads import PeerLoads
-from .processing_times import ProcessingTimes, Warmth
+from .processing_times import Warmth
 from .ranks import RANKED_PER_REGION, KeyPlaces, KeyRanks
 from .upstream import Upstream
 from .warm_index import WarmIndex
@@ -48,82 +52,6 @@
 RegionPicker = Callable[[list[str], int], str | None]
 
 
-@dataclass(slots=True, frozen=True)
-class UpstreamRequirements:
-    """Describe the requirements of a request on its upstream.
-
-    `excluded` names upstreams that have already been tried. An empty
-    `home_regions` allows every region.
-    """
-
-    service: str
-    key: str
-    processing_times: ProcessingTimes
-    home_regions: frozenset[str] = frozenset()
-    excluded: Collection[str] = ()
-
-
-@dataclass(slots=True, frozen=True)
-class Selection:
-    """Represent a selected upstream and its expected processing time."""
-
-    upstream: Upstream
-    warmth: Warmth
-    expected_ms: float
-
-
-@dataclass(slots=True)
-class RegionCandidates:
-    """Store the cheapest candidate of each region and the cost of waiting.
-
-    `lightly_loaded` names the regions where an upstream has a low load. A
-    late request may use them whatever they cost.
-    """
-
-    best: dict[str, Selection] = field(default_factory=dict)
-    costs: dict[str, float] = field(default_factory=dict)
-    wait_cost_ms: float = INFINITE_COST_MS
-    lightly_loaded: set[str] = field(default_factory=set)
-
-    def add(self, selection: Selection, cost_ms: float) -> None:
-        """Add a candidate if it is the cheapest of its region."""
-        region = selection.upstream.spec.region
-        if region not in self.costs or cost_ms < self.costs[region]:
-            self.best[region] = selection
-            self.costs[region] = cost_ms
-
-    def regions(self) -> list[str]:
-        """Return the regions to use rather than wait, cheapest first."""
-        selected = [
-            region
-            for region, cost_ms in self.costs.items()
-            if cost_ms <= self.wait_cost_ms or region in self.lightly_loaded
-        ]
-        return sorted(selected, key=self.costs.__getitem__)
-
-
-@dataclass(slots=True)
-class AvailabilityCounts:
-    """Count a service's upstreams by why they can't take a request.
-
-    `closed` upstreams are draining, evacuated or not eligible; `held_back`
-    ones are failing or cold; `full` ones have no slot free and enough
-    requests waiting.
-    """
-
-    known: int = 0
-    closed: int = 0
-    held_back: int = 0
-    full: int = 0
-
-
-class NoSelection(StrEnum):
-    """Enumerate the reasons why no upstream was selected."""
-
-    NO_FREE_SLOT = "no room"
-    NO_UPSTREAM = "no upstream"
-
-
 class UpstreamSelector:
     """Select upstreams for one node; pools map services to upstreams.
 
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -5,9 +5,9 @@
 from http import HTTPStatus
 
 from bilberry_balance.outcomes import FailurePoint
+from bilberry_balance.placement.candidates import Selection
 from bilberry_balance.placement.distances import Distance
 from bilberry_balance.placement.processing_times import ProcessingTimes
-from bilberry_balance.placement.selector import Selection
 from bilberry_balance.placement.upstream import Upstream
 
 from .connections import ExchangeOutcome
--- a/packages/bilberry_router/src/bilberry_router/entry/answer_checks.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/answer_checks.py
@@ -4,7 +4,7 @@
 
 from bilberry_balance.outcomes import FailurePoint
 
-from ..forward.response_parser import ResponseParser
+from ..http.response_parser import ResponseParser
 from .connections import ExchangeOutcome
 from .heads import HEADER_ENCODING
 from .messages import HeaderNames
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -12,8 +12,8 @@
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 
-from ..forward.const import RECV_BYTES
-from ..forward.response_parser import ResponseParser
+from ..http.const import RECV_BYTES
+from ..http.response_parser import ResponseParser
 from .const import (
     CONNECT_TIMEOUT_MS,
     DEFAULT_IDLE_TIMEOUT_MS,
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -4,8 +4,8 @@
 
 from bilberry_balance.outcomes import FailureDecision, FailurePoint, decide_on_failure
 from bilberry_balance.placement.admission import Refusal, spread_retry_after_ms
+from bilberry_balance.placement.candidates import Selection, UpstreamRequirements
 from bilberry_balance.placement.processing_times import Warmth
-from bilberry_balance.placement.selector import Selection, UpstreamRequirements
 from bilberry_resources.routing import RouteRule
 from bilberry_steering.route_table import RouteEntry
 
--- a/packages/bilberry_router/src/bilberry_router/entry/heads.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/heads.py
@@ -2,8 +2,8 @@
 
 from bilberry_balance.placement.upstream import Upstream
 
-from ..forward.const import HEADER_CONNECTION, HEADER_CONTENT_LENGTH, HOP_BY_HOP_HEADERS
 from ..forward.headers import filter_headers
+from ..http.const import HEADER_CONNECTION, HEADER_CONTENT_LENGTH, HOP_BY_HOP_HEADERS
 from ..http.head import RequestHead
 from ..http.messages import Headers
 from .messages import EntryRequest, HeaderNames
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -12,15 +12,15 @@
     admit,
     expected_queue_wait_ms,
 )
-from bilberry_balance.placement.const import LATE_WAIT_FRACTION
-from bilberry_balance.placement.costs import WaitState
-from bilberry_balance.placement.processing_times import Warmth
-from bilberry_balance.placement.queue import QueueEntry, WaitQueue
-from bilberry_balance.placement.selector import (
+from bilberry_balance.placement.candidates import (
     NoSelection,
     Selection,
     UpstreamRequirements,
 )
+from bilberry_balance.placement.const import LATE_WAIT_FRACTION
+from bilberry_balance.placement.costs import WaitState
+from bilberry_balance.placement.processing_times import Warmth
+from bilberry_balance.placement.queue import QueueEntry, WaitQueue
 from bilberry_balance.placement.upstream import Upstream
 from bilberry_core.const import MS_PER_SECOND
 
--- a/packages/bilberry_router/src/bilberry_router/forward/control.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/control.py
@@ -5,8 +5,8 @@
 from bilberry_core.clock import Clock
 from bilberry_core.outcome import Failure, Result, Success
 
-from .const import RECV_BYTES
-from .response_parser import ResponseParser
+from ..http.const import RECV_BYTES
+from ..http.response_parser import ResponseParser
 from .transport import EndpointConnections, UpstreamConnection
 
 STATUS_OK = 200
--- a/packages/bilberry_router/src/bilberry_router/forward/exchange.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/exchange.py
@@ -10,9 +10,10 @@
 from bilberry_core.const import HEADER_REQUEST_ID, HEADER_REQUEST_TIMEOUT
 
 from ..http.body import BodyError
-from .const import HEADER_CONTENT_LENGTH, LAST_CHUNK, RECV_BYTES, RESPONSE_BUFFER_BYTES
+from ..http.const import HEADER_CONTENT_LENGTH, LAST_CHUNK, RECV_BYTES
+from ..http.response_parser import ResponseParser
+from .const import RESPONSE_BUFFER_BYTES
 from .request import ForwardRequest
-from .response_parser import ResponseParser
 from .transport import UpstreamConnection
 
 _LOGGER = logging.getLogger(__name__)
--- a/packages/bilberry_router/src/bilberry_router/forward/headers.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/headers.py
@@ -13,15 +13,10 @@
 )
 from bilberry_core.ids import new_uuid7
 
+from ..http.const import HEADER_CONNECTION, HEADER_CONTENT_LENGTH, HOP_BY_HOP_HEADERS
 from ..http.head import RequestHead, connection_options
 from ..http.messages import Headers
-from .const import (
-    HEADER_CONNECTION,
-    HEADER_CONTENT_LENGTH,
-    HEADER_FORWARDED_FOR,
-    HOP_BY_HOP_HEADERS,
-    MAX_REQUEST_ID_LENGTH,
-)
+from .const import HEADER_FORWARDED_FOR, MAX_REQUEST_ID_LENGTH
 
 _REQUEST_ID_PATTERN = re.compile(r"[\x21-\x7e]+")
 _NEVER_HOP_BY_HOP = frozenset({"host", HEADER_CONTENT_LENGTH})
--- a/packages/bilberry_router/src/bilberry_router/forward/responses.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/responses.py
@@ -11,9 +11,9 @@
 )
 from bilberry_core.outcome import RequestOutcome
 
+from ..http.const import HEADER_CONTENT_LENGTH, METHOD_HEAD
 from ..http.messages import Headers, Response, problem_response
 from .active_attempt import ActiveAttempt
-from .const import HEADER_CONTENT_LENGTH, METHOD_HEAD
 from .headers import response_headers
 from .request import ForwardRequest
 
--- a/packages/bilberry_router/src/bilberry_router/http/const.py
+++ b/packages/bilberry_router/src/bilberry_router/http/const.py
@@ -1,4 +1,4 @@
-"""Constants of the HTTP servers."""
+"""Constants of HTTP, for callers and upstreams."""
 
 ENV_CONNECTION = "bilberry.connection"
 ENV_HEAD = "bilberry.head"
@@ -10,6 +10,10 @@
 MAX_LENGTH_DIGITS = 18
 MAX_CHUNK_DIGITS = 16
 MAX_JOINED_WRITE_BYTES = 65_536
+MAX_RESPONSE_HEAD_BYTES = 65_536
+MAX_CHUNK_FRAMING_BYTES = 32
+MAX_SKIPPED_RESPONSES = 8
+MAX_SKIPPED_BODY_BYTES = 4_000_000
 
 DEFAULT_LINGER_MS = 500
 MAX_LINGER_BYTES = 1_000_000
@@ -28,3 +32,18 @@
 END_OF_LINE = b"\r\n"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
+
+HOP_BY_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
--- a/packages/bilberry_router/src/bilberry_router/forward/response_parser.py
+++ b/packages/bilberry_router/src/bilberry_router/http/response_parser.py
@@ -2,9 +2,8 @@
 
 import httptools
 
-from ..http.const import BODILESS_STATUSES
-from ..http.head import connection_options
 from .const import (
+    BODILESS_STATUSES,
     CODING_CHUNKED,
     HEADER_CONNECTION,
     HEADER_CONTENT_LENGTH,
@@ -15,6 +14,7 @@
     MAX_SKIPPED_RESPONSES,
     METHOD_HEAD,
 )
+from .head import connection_options
 
 STATUS_SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
--- a/tests/bilberry_balance/placement/common.py
+++ b/tests/bilberry_balance/placement/common.py
@@ -1,16 +1,13 @@
 """Build upstreams and selectors for the tests of upstream selection."""
 
+from bilberry_balance.placement.candidates import NoSelection, UpstreamRequirements
 from bilberry_balance.placement.cold_rate_limiter import ColdRateLimiter
 from bilberry_balance.placement.costs import NOT_QUEUED
 from bilberry_balance.placement.directory import UpstreamDirectory
 from bilberry_balance.placement.distances import Location
 from bilberry_balance.placement.peer_loads import PeerLoads
 from bilberry_balance.placement.processing_times import ProcessingTimes
-from bilberry_balance.placement.selector import (
-    NoSelection,
-    UpstreamRequirements,
-    UpstreamSelector,
-)
+from bilberry_balance.placement.selector import UpstreamSelector
 from bilberry_balance.placement.upstream import UpstreamSpec
 
 TARGET_MS = 600
--- a/tests/bilberry_balance/placement/test_cache_load.py
+++ b/tests/bilberry_balance/placement/test_cache_load.py
@@ -11,9 +11,9 @@
 import random
 from collections import OrderedDict
 
+from bilberry_balance.placement.candidates import Selection
 from bilberry_balance.placement.costs import WaitState
 from bilberry_balance.placement.processing_times import ProcessingTimes
-from bilberry_balance.placement.selector import Selection
 
 from .common import SelectorPool, requirements, spec
 
--- a/tests/bilberry_balance/placement/test_large_pools.py
+++ b/tests/bilberry_balance/placement/test_large_pools.py
@@ -1,9 +1,9 @@
 """In a large pool a request is compared at few upstreams, the right ones."""
 
+from bilberry_balance.placement.candidates import NoSelection
 from bilberry_balance.placement.const import MAX_SCANNED_UPSTREAMS
 from bilberry_balance.placement.costs import WaitState
 from bilberry_balance.placement.ranks import KeyRanks
-from bilberry_balance.placement.selector import NoSelection
 
 from .common import SERVICE, SelectorPool, requirements, spec
 
--- a/tests/bilberry_router/entry/test_placer.py
+++ b/tests/bilberry_router/entry/test_placer.py
@@ -3,11 +3,8 @@
 import gevent
 from gevent.event import AsyncResult
 
+from bilberry_balance.placement.candidates import Selection, UpstreamRequirements
 from bilberry_balance.placement.distances import Location
-from bilberry_balance.placement.selector import (
-    Selection,
-    UpstreamRequirements,
-)
 from bilberry_balance.placement.upstream import UpstreamSpec
 from bilberry_core.clock import SystemClock
 from bilberry_router.entry.placer import PlacementRequest, Placer
--- a/tests/bilberry_router/forward/test_response_parser.py
+++ b/tests/bilberry_router/http/test_response_parser.py
@@ -4,12 +4,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bilberry_router.forward.const import (
+from bilberry_router.http.const import (
     MAX_RESPONSE_HEAD_BYTES,
     MAX_SKIPPED_BODY_BYTES,
     MAX_SKIPPED_RESPONSES,
 )
-from bilberry_router.forward.response_parser import ResponseParser
+from bilberry_router.http.response_parser import ResponseParser
 
 ID = "x-id"
 PIECE = 4_096
