Add a fault soak that runs nodes as processes

Nodes and upstreams are processes; store stand-in, loopback proxies and callers run in the soak. Faults are drawn from a seed and overlap: kills, pauses, stops and reloads of nodes, a store that is down, slow, forgetful or out of one node's reach, links that are slow, silent, cut one way or refusing, upstreams that are killed, paused, drained, evacuated, or send answers twice, late or not at all, and configurations in between.

Checks: whole answers and nobody else's, at most once, a true 'not run', nothing that nobody asked for, nothing to upstreams that left, configurations in force and never back, requests not cut by planned stops, recovery. Each has a test that makes it fire.

Found while writing it, in the soak itself: two restarts of one node at a time left a process behind, which served a later run's callers on the same addresses (600 calls, 174 refused). A node is restarted by one fault at a time now, and each run has loopback addresses of its own.

Builders of stored objects moved from the tests of the adapter to bilberry_testing.

--- a/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
@@ -51,13 +51,17 @@
 
 
 class UpstreamServer:
-    """Run one upstream with slots; record warm keys and requests run."""
+    """Run one upstream with slots; record warm keys and requests run.
+
+    `on_run` is called when a request begins to run.
+    """
 
     __slots__ = (
         "clock",
         "faults",
         "header_names",
         "name",
+        "on_run",
         "queue_limit",
         "running",
         "served_requests",
@@ -88,6 +92,7 @@
         self.waiting = 0
         self.queue_limit = queue_limit
         self.slot_free = Event()
+        self.on_run: Callable[[ServedRequest], None] | None = None
         self.served_requests: list[ServedRequest] = []
         self.warm_keys: set[str] = set()
         self.faults = UpstreamFaults()
@@ -196,6 +201,8 @@
             head.first(names.affinity.lower()) or "",
         )
         self.served_requests.append(served)
+        if self.on_run is not None:
+            self.on_run(served)
         work_ms = self.work_ms
         if served.key and served.key not in self.warm_keys:
             work_ms *= COLD_OBJECT_FACTOR
--- /dev/null
+++ b/soak/checks.py
@@ -0,0 +1,183 @@
+"""Check a history for broken promises; each check returns what broke."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+from bilberry_core.registry import Registry
+
+from .history import NOT_RUN_STATUSES, Call, ConfigVersion, History
+
+Check = Callable[[History], list[str]]
+
+CHECKS: Registry[str, Check] = Registry()
+
+# Calm that a bound needs before it: nodes may still act on what was before.
+SETTLE_MS = 5_000
+CONFIG_LIMIT_MS = 4_000
+RECOVERY_MS = 8_000
+MIN_RECOVERED_FRACTION = 0.9
+MIN_CALLS_AFTER = 10
+METHOD_ONCE = "POST"
+
+
+@CHECKS.register("whole")
+def check_whole_answers(history: History) -> list[str]:
+    """Return successes that aren't an upstream's whole answer to that call."""
+    runs = history.runs_by_id()
+    broken = []
+    for call in history.calls:
+        if call.status != HTTPStatus.OK:
+            continue
+        allowed = {
+            f"{run.upstream} ran {call.request_id}"
+            for run in runs.get(call.request_id, [])
+        }
+        if call.answer_id != call.request_id:
+            broken.append(f"{call.request_id} got the answer to {call.answer_id!r}")
+        elif call.body.decode(errors="replace") not in allowed:
+            broken.append(f"{call.request_id} got {call.body[:60]!r}")
+    return broken
+
+
+@CHECKS.register("once")
+def check_at_most_once(history: History) -> list[str]:
+    """Return requests that must run once at most, and ran more often."""
+    return [
+        f"{request_id} ran {len(runs)} times"
+        for request_id, runs in history.runs_by_id().items()
+        if runs[0].method == METHOD_ONCE and len(runs) > 1
+    ]
+
+
+@CHECKS.register("not-run")
+def check_not_run(history: History) -> list[str]:
+    """Return requests that ran though the caller was told they hadn't."""
+    runs = history.runs_by_id()
+    return [
+        f"{call.request_id} was answered {call.status} and ran"
+        for call in history.calls
+        if call.method == METHOD_ONCE
+        and call.status in NOT_RUN_STATUSES
+        and call.request_id in runs
+    ]
+
+
+@CHECKS.register("asked")
+def check_asked_for(history: History) -> list[str]:
+    """Return runs that no caller asked for, or of another target."""
+    asked = {call.request_id: (call.method, call.target) for call in history.calls}
+    return [
+        f"{run.request_id} ran as {run.method} {run.target}"
+        for run in history.runs
+        if asked.get(run.request_id) != (run.method, run.target)
+    ]
+
+
+@CHECKS.register("leaving")
+def check_leaving(history: History) -> list[str]:
+    """Return runs at upstreams that had left for longer than the limit.
+
+    Only where nothing unplanned went on since shortly before.
+    """
+    broken = []
+    for departure in history.departures:
+        limit_ms = departure.from_ms + departure.limit_ms
+        until_ms = departure.until_ms or history.ended_ms
+        for run in history.runs:
+            is_late = limit_ms < run.began_ms < until_ms
+            if run.upstream != departure.upstream or not is_late:
+                continue
+            if not history.is_disturbed(departure.from_ms - SETTLE_MS, run.began_ms):
+                late_ms = run.began_ms - departure.from_ms
+                broken.append(f"{run.request_id} reached {run.upstream} {late_ms} late")
+    return broken
+
+
+@CHECKS.register("config")
+def check_configuration(history: History) -> list[str]:
+    """Return calls to a path in force for long that a node didn't know."""
+    broken = []
+    for version in history.versions:
+        from_ms = version.accepted_ms + CONFIG_LIMIT_MS
+        for call in _calls_of(history, version):
+            if call.status != HTTPStatus.NOT_FOUND or call.sent_ms < from_ms:
+                continue
+            disturbed_from_ms = version.accepted_ms - SETTLE_MS
+            if not history.is_disturbed(disturbed_from_ms, call.ended_ms):
+                broken.append(f"{call.request_id}: {call.node} lacks {version.prefix}")
+    return broken
+
+
+@CHECKS.register("never-back")
+def check_never_back(history: History) -> list[str]:
+    """Return nodes that forgot a configuration they had served."""
+    broken = []
+    for version in history.versions:
+        served: dict[str, int] = {}
+        for call in _calls_of(history, version):
+            known_ms = served.get(call.node)
+            if call.status == HTTPStatus.OK:
+                served.setdefault(call.node, call.ended_ms)
+            elif (
+                call.status == HTTPStatus.NOT_FOUND
+                and known_ms is not None
+                and call.sent_ms > known_ms
+                and not _was_restarted(history, call.node, known_ms, call.ended_ms)
+            ):
+                broken.append(f"{call.request_id}: {call.node} lost {version.prefix}")
+    return broken
+
+
+@CHECKS.register("cut")
+def check_planned_stops(history: History) -> list[str]:
+    """Return requests that a planned stop cut off while they ran."""
+    runs = history.runs_by_id()
+    return [
+        f"{call.request_id} at {call.node} ran and was cut off"
+        for call in history.calls
+        if call.closed
+        and call.request_id in runs
+        and not history.is_disturbed(call.sent_ms - SETTLE_MS, call.ended_ms)
+    ]
+
+
+@CHECKS.register("recovery")
+def check_recovery(history: History) -> list[str]:
+    """Return whether too few calls are served long after the last fault."""
+    from_ms = history.calm_from_ms + RECOVERY_MS
+    calls = [
+        call
+        for call in history.calls
+        if call.sent_ms >= from_ms and call.status != HTTPStatus.NOT_FOUND
+    ]
+    served = sum(call.status == HTTPStatus.OK for call in calls)
+    if len(calls) < MIN_CALLS_AFTER:
+        return [f"only {len(calls)} calls after the last fault"]
+    if served < MIN_RECOVERED_FRACTION * len(calls):
+        return [f"{served} of {len(calls)} calls served after the last fault"]
+    return []
+
+
+def broken_promises(history: History) -> list[str]:
+    """Return all that broke, each with the name of its check."""
+    return [
+        f"{name}: {what}" for name, check in CHECKS.items() for what in check(history)
+    ]
+
+
+def _calls_of(history: History, version: ConfigVersion) -> list[Call]:
+    """Return the calls to a version's own path while it was in force."""
+    until_ms = version.until_ms or history.ended_ms
+    found = [
+        call
+        for call in history.calls
+        if call.target.startswith(version.prefix) and call.ended_ms < until_ms
+    ]
+    return sorted(found, key=lambda call: call.sent_ms)
+
+
+def _was_restarted(history: History, node: str, from_ms: int, until_ms: int) -> bool:
+    return any(
+        disturbance.node == node and disturbance.overlaps(from_ms, until_ms)
+        for disturbance in history.disturbances
+    )
--- a/tests/bilberry_platform/common.py
+++ b/tests/bilberry_platform/common.py
@@ -15,6 +15,11 @@
 from bilberry_router.entry.node import EntryNode, NodeAddresses
 from bilberry_router.entry.platform import Platform
 from bilberry_router.entry.state import SharedLimits
+from bilberry_testing.machines.objects import (
+    config_spec,
+    upstream_entry,
+    upstream_status,
+)
 from bilberry_testing.machines.store import StoreServer
 from bilberry_testing.machines.upstream import UpstreamServer
 
@@ -24,65 +29,6 @@
 LOCAL = "127.0.0.1:0"
 
 
-def config_spec(version=1, routes=None, **limits):
-    values = {
-        "max_header_bytes": 16_384,
-        "max_body_bytes": 1_000_000,
-        "header_timeout_s": 3,
-        "idle_timeout_s": 15,
-    }
-    values.update(limits)
-    resources = [route_spec(*route) for route in routes or [("read", "/read/")]]
-    resources.append(
-        {
-            "resource_kind": "services",
-            "metadata": {"name": "s"},
-            "spec": {
-                "health_path": "/healthz",
-                "max_connections": 360,
-                "cold_start_s": 3.0,
-                "cold_per_s": 6.4,
-            },
-        }
-    )
-    resources.append({"resource_kind": "limits", "metadata": {}, "spec": values})
-    return {"version": version, "base_version": 0, "resources": resources}
-
-
-def route_spec(name, prefix, **fields):
-    spec = {
-        "host": "shop.example",
-        "path_prefix": prefix,
-        "kind": "idempotent",
-        "timeout_s": 2,
-        "target_latency_s": 0.5,
-        "priority": 1,
-        "service": "s",
-        "max_attempts": 2,
-        "sticky": True,
-        "home_regions": [],
-    }
-    spec.update(fields)
-    return {"resource_kind": "routes", "metadata": {"name": name}, "spec": spec}
-
-
-def upstream_entry(upstream, zone="mtl-a", born=1, service="s"):
-    return {
-        "address": upstream.address,
-        "born": born,
-        "info": {
-            "service": service,
-            "version": "v1",
-            "zone": zone,
-            "slots": upstream.slots,
-        },
-    }
-
-
-def upstream_status(state="ready", sequence=1, cold_s=0):
-    return {"state": state, "sequence": sequence, "cold_remaining_s": cold_s}
-
-
 class Deployment:
     """Run a store, upstreams and nodes in this process."""
 
@@ -123,7 +69,7 @@
         self.write(
             "servers",
             upstream.name,
-            upstream_entry(upstream, zone, born),
+            upstream_entry(upstream.address, upstream.slots, zone, born),
             upstream_status(**status),
         )
 
--- a/tests/bilberry_platform/test_decoding.py
+++ b/tests/bilberry_platform/test_decoding.py
@@ -8,8 +8,13 @@
 from bilberry_platform.directory import decode_query, encode_addresses
 from bilberry_platform.entries import decode_node, make_upstream_decoder
 from bilberry_platform.settings import load_settings
+from bilberry_testing.machines.objects import (
+    config_spec,
+    route_spec,
+    upstream_status,
+)
 
-from .common import ZONES, config_spec, route_spec, upstream_status
+from .common import ZONES
 
 DECODE = make_upstream_decoder(ZONES)
 SPEC = {
--- a/tests/bilberry_platform/test_discovery.py
+++ b/tests/bilberry_platform/test_discovery.py
@@ -10,9 +10,10 @@
 from bilberry_fleet.discovery.const import REREGISTRATION_GRACE_MS
 from bilberry_platform.store import StoreClient
 from bilberry_store.errors import StoreErrorKind
+from bilberry_testing.machines.objects import config_spec, upstream_entry
 
 from ..bilberry_router.entry.common import eventually
-from .common import Deployment, config_spec, fetch, upstream_entry
+from .common import Deployment, fetch
 
 
 def upstream_names(node):
@@ -179,7 +180,7 @@
         deployment.write(
             "servers",
             "i-9",
-            upstream_entry(upstream, service="t"),
+            upstream_entry(upstream.address, upstream.slots, service="t"),
             {"state": "ready", "sequence": 1, "cold_remaining_s": 0},
         )
         eventually(lambda: upstream_names(node) == ["i-9"])
--- /dev/null
+++ b/tests/soak/test_checks.py
@@ -0,0 +1,168 @@
+"""Each check of the soak finds the fault that it is made for."""
+
+from dataclasses import replace
+
+import pytest
+
+from soak.checks import CHECKS, broken_promises
+from soak.history import (
+    Call,
+    ConfigVersion,
+    Departure,
+    Disturbance,
+    History,
+    Run,
+)
+
+CALM_MS = 20_000
+
+
+def answered(request_id, sent_ms, method="GET", target="/read/x", upstream="i-0"):
+    """Return a call that an upstream answered well, and its run."""
+    body = f"{upstream} ran {request_id}".encode()
+    call = Call(
+        request_id,
+        method,
+        target,
+        "n0",
+        sent_ms,
+        ended_ms=sent_ms + 50,
+        status=200,
+        answer_id=request_id,
+        body=body,
+    )
+    return call, Run(request_id, method, target, upstream, sent_ms + 10)
+
+
+def sound_history():
+    history = History(calm_from_ms=CALM_MS, ended_ms=60_000)
+    for index in range(40):
+        method, target = ("POST", "/book/x") if index % 2 else ("GET", "/read/x")
+        call, run = answered(f"r{index}", index * 1_000, method, target)
+        history.calls.append(call)
+        history.runs.append(run)
+    return history
+
+
+def names_of(history):
+    return {promise.partition(":")[0] for promise in broken_promises(history)}
+
+
+def test_a_sound_history_breaks_nothing():
+    assert broken_promises(sound_history()) == []
+
+
+def test_the_answer_to_another_call_is_found():
+    history = sound_history()
+    history.calls[3].answer_id = "r2"
+    assert names_of(history) == {"whole"}
+
+
+def test_a_body_cut_short_is_found():
+    history = sound_history()
+    history.calls[3].body = history.calls[3].body[:-1]
+    assert names_of(history) == {"whole"}
+
+
+def test_a_success_that_no_upstream_gave_is_found():
+    history = sound_history()
+    del history.runs[4]
+    assert names_of(history) == {"whole"}
+
+
+def test_a_second_run_is_found_unless_it_may_be_repeated():
+    history = sound_history()
+    history.runs.append(replace(history.runs[2], upstream="i-1"))
+    assert names_of(history) == set()
+    history.runs.append(replace(history.runs[3], upstream="i-1"))
+    assert names_of(history) == {"once"}
+
+
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_false_promise_that_nothing_ran_is_found(status):
+    history = sound_history()
+    history.calls[3].status = status
+    assert names_of(history) == {"not-run"}
+
+
+def test_a_gateway_error_promises_nothing():
+    history = sound_history()
+    history.calls[3].status = 502
+    assert names_of(history) == set()
+
+
+def test_a_run_that_nobody_asked_for_is_found():
+    history = sound_history()
+    history.runs.append(Run("smuggled", "GET", "/read/x", "i-0", 5_000))
+    history.runs[6] = replace(history.runs[6], target="/read/y")
+    assert names_of(history) == {"asked"}
+
+
+def test_a_run_at_an_upstream_that_left_is_found_in_calm():
+    history = sound_history()
+    history.departures = [Departure("i-0", 34_000, limit_ms=4_000)]
+    assert names_of(history) == {"leaving"}
+    history.disturbances = [Disturbance("store-down", 32_000, 33_000, False)]
+    assert names_of(history) == set()
+
+
+def test_an_evacuated_upstream_may_run_again_once_it_is_back():
+    history = sound_history()
+    history.departures = [Departure("i-0", 10_000, 5_000, until_ms=15_005)]
+    assert names_of(history) == set()
+
+
+def add_config_calls(history, *statuses):
+    history.versions = [ConfigVersion(7, "/v7/", accepted_ms=30_000)]
+    for index, status in enumerate(statuses):
+        call, run = answered(f"c{index}", 35_000 + index * 1_000, target="/v7/x")
+        call.status = status
+        history.calls.append(call)
+        if status == 200:
+            history.runs.append(run)
+
+
+def test_a_node_without_a_configuration_in_force_is_found():
+    history = sound_history()
+    add_config_calls(history, 404)
+    assert names_of(history) == {"config"}
+
+
+def test_a_node_that_forgets_a_configuration_is_found():
+    history = sound_history()
+    add_config_calls(history, 200, 404)
+    history.disturbances = [Disturbance("store-down", 29_000, 40_000, False)]
+    assert names_of(history) == {"never-back"}
+    history.disturbances.append(Disturbance("node-kill", 35_500, 36_500, False, "n0"))
+    assert names_of(history) == set()
+
+
+def test_a_request_that_a_planned_stop_cut_off_is_found():
+    history = sound_history()
+    history.calls[39].status = None
+    history.calls[39].closed = True
+    history.disturbances = [Disturbance("node-stop", 38_900, 45_000, True, "n0")]
+    assert names_of(history) == {"cut"}
+    history.disturbances.append(Disturbance("upstream-kill", 38_000, 39_000, False))
+    assert names_of(history) == set()
+
+
+def test_callers_that_are_not_served_after_the_faults_are_found():
+    history = sound_history()
+    for call in history.calls[30:]:
+        call.status = 502
+    assert names_of(history) == {"recovery"}
+
+
+def test_every_check_has_a_test_here():
+    assert set(CHECKS) == {
+        "whole",
+        "once",
+        "not-run",
+        "asked",
+        "leaving",
+        "config",
+        "never-back",
+        "cut",
+        "recovery",
+    }
