Keep requests for an object together only on sticky routes

Cause: found while reading what the placement uses of a route. The configuration's sticky was decoded and never used: requests with an affinity key kept to the upstream of their key, and now to its regions, also on routes whose upstreams gain nothing by it, and so waited or crossed regions for nothing.

--- a/packages/bilberry_resources/src/bilberry_resources/routing.py
+++ b/packages/bilberry_resources/src/bilberry_resources/routing.py
@@ -17,6 +17,7 @@
 
     `target_latency_ms` is the latency objective. `priority` 0 is the highest.
     `max_attempts` limits the upstreams to which one request may be sent.
+    With `sticky` an upstream is faster for an object that it had lately.
     An empty `home_regions` allows every region.
     """
 
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -111,12 +111,13 @@
         """Return the state of a new request on a route."""
         head = request.head
         rule = entry.rule
+        key = head.first(self.header_names.affinity.lower()) if rule.sticky else None
         active = ActiveRequest(
             request,
             rule,
             entry.next_service(),
             head.first(self.header_names.request_id.lower()) or "",
-            head.first(self.header_names.affinity.lower()) or "",
+            key or "",
             request.arrived_ms + self.timeout_ms(head, rule),
         )
         self.state.retry_budget(active.service).on_request(request.arrived_ms)
--- a/tests/bilberry_router/entry/common.py
+++ b/tests/bilberry_router/entry/common.py
@@ -50,6 +50,7 @@
         "timeout_ms": 2_000,
         "target_latency_ms": 500,
         "max_attempts": 2,
+        "sticky": True,
     }
     values.update(fields)
     return RouteRule(
@@ -66,6 +67,7 @@
     route("book", "/book/", idempotent=False),
     route("short", "/short/", timeout_ms=200),
     route("empty", "/empty/", service="none"),
+    route("any", "/any/", sticky=False),
 )
 
 
--- a/tests/bilberry_router/entry/test_forwarder.py
+++ b/tests/bilberry_router/entry/test_forwarder.py
@@ -368,3 +368,21 @@
         times = [float(answer.headers["retry-after"]) for answer in answers]
         assert max(times) < 0.5
         assert len(set(times)) > 1
+
+
+@pytest.mark.parametrize(("target", "upstream_count"), [("/read/x", 1), ("/any/x", 4)])
+def test_requests_for_an_object_stay_together_only_on_sticky_routes(
+    target, upstream_count
+):
+    with Rig(count=4, slots=8) as rig:
+        release = rig.hold()
+        headers = [f"{NAMES.affinity}: k"]
+        asked = [
+            gevent.spawn(rig.ask, target, request_id=f"r{index}", headers=headers)
+            for index in range(8)
+        ]
+        eventually(lambda: len(rig.ran) == 8)
+        used = [upstream for upstream in rig.upstreams if upstream.running]
+        assert len(used) == upstream_count
+        release.set()
+        gevent.joinall(asked)
