Move the share of a region without any upstream left at once

The last upstream of a region was drained; its node refused half of its callers for over ten seconds, 'no room' at a load of 1 of 16 slots: the limit on how fast requests may change region held back what had nowhere else to go. Where a region has one failure domain, an evacuation does the same.

Ruled out: suspending the limit (requests of regions that are only full would move with it).

A region that comes back gets its share back slowly, as before. Tests: three of the limiter, and test_callers_are_served_elsewhere_at_once_if_their_region_has_no_upstream_left.

--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -137,6 +137,13 @@
             initial_shares(slots, self.location.region), now_ms
         )
 
+    def update_open_regions(self) -> None:
+        """Tell the limiter which regions have an upstream that may be used."""
+        accepts = self.upstreams.accepts_requests
+        self.region_share_limiter.set_open_regions(
+            {u.spec.region for u in self.upstreams.by_name.values() if accepts(u)}
+        )
+
     def service_load(self, service: str, now_ms: int) -> int:
         """Return the known number of requests at a service's upstreams."""
         pool = self.upstreams.pools.get(service, {})
--- a/packages/bilberry_steering/src/bilberry_steering/region_share_limiter.py
+++ b/packages/bilberry_steering/src/bilberry_steering/region_share_limiter.py
@@ -5,7 +5,7 @@
 span to the next stays within a configured maximum.
 """
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from .const import (
     REGION_SHARE_AVERAGE_WEIGHT,
@@ -60,6 +60,17 @@
         """Suspend the limit for a while, as after losing an upstream."""
         self.relaxed_until_ms = now_ms + REGION_SHARE_RELAX_MS
 
+    def set_open_regions(self, regions: Collection[str]) -> None:
+        """Move the shares of all other regions to these at once.
+
+        Where there is no upstream left, requests can't stay for a while.
+        """
+        if not regions:
+            return
+        self.shares = _only(self.shares, regions)
+        self.wanted_shares = _only(self.wanted_shares, regions)
+        self.credits = {n: c for n, c in self.credits.items() if n in regions}
+
     def pick_region(self, wanted: Sequence[str], now_ms: int) -> str | None:
         """Return the first of the wanted regions that has credit left.
 
@@ -115,3 +126,15 @@
         fraction = max_change / distance if distance > 0 else 0.0
         for name, change in changes.items():
             self.shares[name] = self.shares.get(name, 0.0) + fraction * change
+
+
+def _only(shares: dict[str, float], regions: Collection[str]) -> dict[str, float]:
+    """Return the shares of some regions, scaled to the same sum as before."""
+    kept = {name: share for name, share in shares.items() if name in regions}
+    if len(kept) == len(shares):
+        return shares
+    total = sum(kept.values())
+    if total <= 0:
+        return dict.fromkeys(regions, sum(shares.values()) / len(regions))
+    scale = sum(shares.values()) / total
+    return {name: share * scale for name, share in kept.items()}
--- a/tests/bilberry_platform/test_discovery.py
+++ b/tests/bilberry_platform/test_discovery.py
@@ -195,3 +195,23 @@
         eventually(lambda: deployment.store.table.get("nodes", "n1"))
         deployment.store.faults.lose_writes = False
         assert fetch(node.entry_listener, "/read/x").status == 200
+
+
+def test_callers_are_served_elsewhere_at_once_if_their_region_has_no_upstream_left():
+    with Deployment() as deployment:
+        local, distant = deployment.upstreams
+        deployment.register(local, zone="qc-a", born=2)
+        node = deployment.node(zone="qc-a")
+        for index in range(20):
+            reply = fetch(node.entry_listener, "/read/x", request_id=f"a{index}")
+            assert reply.status == 200
+        deployment.register(local, zone="qc-a", born=2, state="draining")
+        eventually(lambda: not accepts_requests(node, local.name))
+        eventually(lambda: "qc" not in node.state.region_share_limiter.shares)
+        served = [
+            fetch(node.entry_listener, "/read/x", request_id=f"b{index}").status
+            for index in range(20)
+        ]
+        assert served == [200] * 20
+        assert all(run.request_id.startswith("a") for run in local.served_requests)
+        assert len(distant.served_requests) >= 20
--- a/tests/bilberry_steering/test_region_share_limiter.py
+++ b/tests/bilberry_steering/test_region_share_limiter.py
@@ -97,3 +97,32 @@
         limiter.record_sent(region, now_ms)
         far += region == "far"
     return far
+
+
+def test_the_share_of_a_region_without_upstreams_moves_at_once():
+    limiter = RegionShareLimiter(MAX_SHARE)
+    limiter.set_initial_shares({"home": 0.5, "far": 0.3, "third": 0.2}, 0)
+    limiter.set_open_regions({"far", "third"})
+    assert limiter.shares == {"far": 0.6, "third": 0.4}
+    for now_ms in range(0, 1_000, 10):
+        region = limiter.pick_region(["far", "third"], now_ms)
+        assert region is not None
+        limiter.record_sent(region, now_ms)
+
+
+def test_all_requests_go_to_the_only_region_that_is_left():
+    limiter = RegionShareLimiter(MAX_SHARE)
+    limiter.set_initial_shares({"home": 1.0}, 0)
+    limiter.set_open_regions({"far"})
+    for now_ms in range(0, 1_000, 10):
+        assert limiter.pick_region(["far"], now_ms) == "far"
+        limiter.record_sent("far", now_ms)
+
+
+def test_open_regions_change_nothing_while_each_has_upstreams():
+    limiter = RegionShareLimiter(MAX_SHARE)
+    limiter.set_initial_shares({"home": 0.5, "far": 0.5}, 0)
+    limiter.set_open_regions({"home", "far", "third"})
+    assert limiter.shares == {"home": 0.5, "far": 0.5}
+    limiter.set_open_regions(set())
+    assert limiter.shares == {"home": 0.5, "far": 0.5}
