--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -21,8 +21,8 @@
 LIGHT_LOAD = 0.4
 LATE_WAIT_FRACTION = 0.25
 
-# A region that is short of slots leaves this part of its caches free, for
-# objects that come while the other regions are full.
+# Part of the keys that a short region takes of those that its slots carry. The
+# rest of its caches is for objects that come while other regions are full.
 KEY_FRACTION_OF_SLOTS = 0.7
 
 # Fractions of the extra time of a cache miss, added to the cost of a request
