Check cold rates and repeated runs in the soak, and keep failed schedules

Two checks more, each with a test that makes it fire: the rate of a cold upstream over all nodes, and repeated runs in any 10 s. A store that does what nodes write and answers nothing is a kind of its own.

--- a/packages/bilberry_testing/src/bilberry_testing/machines/objects.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/objects.py
@@ -21,7 +21,7 @@
     "sticky": True,
     "home_regions": [],
 }
-POOL = {
+POOL: Spec = {
     "health_path": "/healthz",
     "max_connections": 360,
     "cold_start_s": 3.0,
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,7 +9,7 @@
 import cappa
 import gevent
 
-from .run import FULL_SIZE, QUICK_SIZE, SoakRun
+from .run import FULL_SIZE, LARGE_SIZE, QUICK_SIZE, SoakRun
 
 EXIT_BROKEN_PROMISE = 1
 
@@ -21,6 +21,7 @@
 
     seed: Annotated[int, cappa.Arg(long=True, help="Seed of the faults.")] = 1
     quick: Annotated[bool, cappa.Arg(long=True, help="A short, small run.")] = False
+    large: Annotated[bool, cappa.Arg(long=True, help="Over 100 processes.")] = False
     logs: Annotated[
         Path | None, cappa.Arg(long=True, help="Directory for settings and logs.")
     ] = None
@@ -29,7 +30,9 @@
 def main() -> int:
     """Run the seed of the command line and print what happened."""
     command = cappa.parse(Soak)
-    size = QUICK_SIZE if command.quick else FULL_SIZE
+    size = LARGE_SIZE if command.large else FULL_SIZE
+    if command.quick:
+        size = QUICK_SIZE
     with tempfile.TemporaryDirectory() as made:
         directory = command.logs or Path(made)
         directory.mkdir(parents=True, exist_ok=True)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,8 +1,10 @@
 """Check a history for broken promises; each check returns what broke."""
 
+from bisect import bisect_left
 from collections.abc import Callable
 from http import HTTPStatus
 
+from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.registry import Registry
 
 from .history import NOT_RUN_STATUSES, Call, ConfigVersion, History
@@ -15,6 +17,8 @@
 SETTLE_MS = 5_000
 CONFIG_LIMIT_MS = 4_000
 RECOVERY_MS = 8_000
+RETRY_SPAN_MS = 10_000
+RETRY_FRACTION, RETRY_SLACK = 0.2, 60
 MIN_RECOVERED_FRACTION = 0.9
 MIN_CALLS_AFTER = 10
 METHOD_ONCE = "POST"
@@ -93,6 +97,44 @@
     return broken
 
 
+@CHECKS.register("cold")
+def check_cold_rates(history: History) -> list[str]:
+    """Return cold upstreams that got more in some second than they bear."""
+    broken = []
+    for cold in history.cold_times:
+        began = sorted(
+            run.began_ms
+            for run in history.runs
+            if run.upstream == cold.upstream
+            and cold.from_ms <= run.began_ms < cold.until_ms
+        )
+        most = _most_within(began, MS_PER_SECOND)
+        if most > cold.max_per_s:
+            broken.append(f"{cold.upstream} got {most} requests in a second")
+    return broken
+
+
+@CHECKS.register("retries")
+def check_retries(history: History) -> list[str]:
+    """Return spans with more repeated runs than all nodes may make."""
+    repeated = sorted(
+        run.began_ms
+        for runs in history.runs_by_id().values()
+        for run in sorted(runs, key=lambda run: run.began_ms)[1:]
+    )
+    calls = sorted(call.sent_ms for call in history.calls)
+    broken = []
+    for index, from_ms in enumerate(repeated):
+        until_ms = from_ms + RETRY_SPAN_MS
+        count = bisect_left(repeated, until_ms) - index
+        asked = bisect_left(calls, until_ms) - bisect_left(
+            calls, from_ms - RETRY_SPAN_MS
+        )
+        if count > RETRY_FRACTION * asked + RETRY_SLACK:
+            broken.append(f"{count} repeated runs and {asked} calls at {from_ms}")
+    return broken[:1]
+
+
 @CHECKS.register("config")
 def check_configuration(history: History) -> list[str]:
     """Return calls to a path in force for long that a node didn't know."""
@@ -176,6 +218,14 @@
     return sorted(found, key=lambda call: call.sent_ms)
 
 
+def _most_within(times: list[int], span_ms: int) -> int:
+    """Return the largest number of sorted times within a span."""
+    return max(
+        (bisect_left(times, start + span_ms) - i for i, start in enumerate(times)),
+        default=0,
+    )
+
+
 def _was_restarted(history: History, node: str, from_ms: int, until_ms: int) -> bool:
     return any(
         disturbance.node == node and disturbance.overlaps(from_ms, until_ms)
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -11,6 +11,7 @@
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_testing.client import CALL_ERRORS, call
 from bilberry_testing.machines.objects import (
+    POOL,
     config_of,
     route_spec,
     upstream_entry,
@@ -18,7 +19,7 @@
 )
 from bilberry_testing.machines.store import StoreServer
 
-from .history import ConfigVersion, Disturbance, History, Run
+from .history import ColdTime, ConfigVersion, Disturbance, History, Run
 from .messages import RunLine, UpstreamOptions
 from .processes import NodeProcess, UpstreamProcess
 from .proxy import LinkProxy
@@ -33,6 +34,8 @@
 POLL_MS = 100
 CALL_TIMEOUT_MS = 1_000
 SLOTS, WORK_MS = 4, 60
+# The rate of the pool, with the excess and the slack that the users allow.
+MAX_COLD_PER_S = POOL["cold_per_s"] * 1.5 + 5
 
 SETTINGS = """\
 node_name = "{name}"
@@ -180,6 +183,11 @@
         upstream = SoakUpstream(process, link, zone, self.clock.wall_ms())
         self.upstreams[name] = upstream
         self.register(name, cold_s)
+        if cold_s:
+            now_ms = self.clock.now_ms()
+            until_ms = now_ms + int(cold_s * MS_PER_SECOND)
+            cold = ColdTime(name, now_ms, until_ms, MAX_COLD_PER_S)
+            self.history.cold_times.append(cold)
         return name
 
     def register(self, name: str, cold_s: float = 0.0) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,7 +22,7 @@
 START_MS = 3_000
 SLOW_MS = 150
 FAULT_FRACTION = 0.3
-COLD_S = 1.0
+COLD_S = 3.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -125,6 +125,15 @@
     act.deployment.store.faults.delay_ms = 0
 
 
+@FAULTS.register("store-loses-writes")
+def lose_writes(act: Act) -> None:
+    """Let the store do what nodes write, and answer nothing."""
+    act.record("store-loses-writes")
+    act.deployment.store.faults.lose_writes = True
+    act.sleep()
+    act.deployment.store.faults.lose_writes = False
+
+
 @FAULTS.register("store-forgets")
 def drop_history(act: Act) -> None:
     """Let the store drop its history."""
--- a/soak/history.py
+++ b/soak/history.py
@@ -58,6 +58,16 @@
     until_ms: int | None = None
 
 
+@dataclass(slots=True, frozen=True)
+class ColdTime:
+    """Represent the time in which an upstream bears only a small rate."""
+
+    upstream: str
+    from_ms: int
+    until_ms: int
+    max_per_s: float
+
+
 @dataclass(slots=True)
 class ConfigVersion:
     """Represent a configuration that the store accepted, with its own path.
@@ -93,6 +103,7 @@
     calls: list[Call] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
     departures: list[Departure] = field(default_factory=list)
+    cold_times: list[ColdTime] = field(default_factory=list)
     versions: list[ConfigVersion] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     calm_from_ms: int = 0
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,6 +35,7 @@
 
 QUICK_SIZE = Size(nodes=3, upstreams=4, callers=6, faults_ms=8_000)
 FULL_SIZE = Size(nodes=6, upstreams=8, callers=16, faults_ms=30_000)
+LARGE_SIZE = Size(nodes=60, upstreams=60, callers=60, faults_ms=40_000)
 
 
 class SoakRun:
--- /dev/null
+++ b/tests/soak/regressions.py
@@ -0,0 +1,20 @@
+"""Schedules that once broke a promise, kept as they were drawn.
+
+A seed draws another schedule when kinds of faults are added.
+"""
+
+from soak.schedule import PlannedFault
+
+# Callers were refused for long: their region had lost its last upstream.
+LAST_UPSTREAM_OF_A_REGION = (
+    PlannedFault("store-forgets", 564, 2_017, 542_587_089),
+    PlannedFault("node-pause", 1_059, 679, 587_736_274),
+    PlannedFault("node-reload", 1_665, 2_574, 1_721_037_353),
+    PlannedFault("store-cut", 3_079, 624, 2_093_375_977),
+    PlannedFault("store-cut", 4_107, 2_099, 2_461_552_813),
+    PlannedFault("node-pause", 4_600, 2_149, 2_083_486_416),
+    PlannedFault("upstream-drain", 5_179, 581, 1_145_757_506),
+    PlannedFault("store-cut", 6_344, 2_169, 3_874_336_640),
+    PlannedFault("upstream-pause", 7_220, 965, 1_109_633_622),
+    PlannedFault("store-forgets", 7_518, 758, 2_663_601_089),
+)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -7,6 +7,7 @@
 from soak.checks import CHECKS, broken_promises
 from soak.history import (
     Call,
+    ColdTime,
     ConfigVersion,
     Departure,
     Disturbance,
@@ -112,6 +113,23 @@
     assert names_of(history) == set()
 
 
+def test_a_cold_upstream_that_gets_too_much_is_found():
+    history = sound_history()
+    history.cold_times = [ColdTime("i-0", 9_000, 12_000, max_per_s=2)]
+    assert names_of(history) == set()
+    history.cold_times = [ColdTime("i-0", 9_000, 12_000, max_per_s=0.5)]
+    assert names_of(history) == {"cold"}
+
+
+def test_more_repeated_runs_than_all_nodes_may_make_are_found():
+    history = sound_history()
+    again = [replace(history.runs[2], upstream=f"i-{n}") for n in range(60)]
+    history.runs += again
+    assert names_of(history) == set()
+    history.runs += again[:10]
+    assert names_of(history) == {"retries"}
+
+
 def add_config_calls(history, *statuses):
     history.versions = [ConfigVersion(7, "/v7/", accepted_ms=30_000)]
     for index, status in enumerate(statuses):
@@ -161,6 +179,8 @@
         "not-run",
         "asked",
         "leaving",
+        "cold",
+        "retries",
         "config",
         "never-back",
         "cut",
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -1,16 +1,24 @@
-"""Nodes as processes keep their promises through a short seeded run."""
+"""Nodes as processes keep their promises through short runs."""
 
 import gevent
-import pytest
 
 from soak.run import QUICK_SIZE, SoakRun
 
-# Seed 8 once found callers refused whose region had lost its last upstream.
-SEEDS = (1, 8)
+from .regressions import LAST_UPSTREAM_OF_A_REGION
 
+SEED = 1
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_a_seeded_run_breaks_no_promise(seed, tmp_path):
-    run = SoakRun(seed, QUICK_SIZE, tmp_path)
+
+def broken_in(run):
     broken = gevent.spawn(run.play).get()
-    assert broken == [], run.summary(broken)
+    return [*broken, run.summary(broken)] if broken else []
+
+
+def test_a_seeded_run_breaks_no_promise(tmp_path):
+    assert broken_in(SoakRun(SEED, QUICK_SIZE, tmp_path)) == []
+
+
+def test_callers_whose_region_loses_its_last_upstream_are_served(tmp_path):
+    run = SoakRun(8, QUICK_SIZE, tmp_path)
+    run.schedule = list(LAST_UPSTREAM_OF_A_REGION)
+    assert broken_in(run) == []
