--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -11,18 +11,12 @@
 from bilberry_balance.placement.candidates import Selection, UpstreamRequirements
 from bilberry_balance.placement.distances import Distance, Location
 from bilberry_balance.placement.queue import QueueEntry
-from bilberry_balance.placement.upstream import Upstream, UpstreamSpec
+from bilberry_balance.placement.upstream import UpstreamSpec
 from bilberry_core.clock import ManualClock
 from bilberry_core.const import MS_PER_SECOND
-from bilberry_resources.routing import (
-    PoolConfig,
-    RouteRule,
-    RoutingConfig,
-    WeightedService,
-)
+from bilberry_resources.routing import RouteRule
 from bilberry_router.entry.const import QUEUE_POLL_MS
-from bilberry_router.entry.placer import PlacementRequest, Placer
-from bilberry_router.entry.state import EntryState, SharedLimits
+from bilberry_router.entry.placer import PlacementRequest
 
 from .placement_model import (
     Call,
@@ -31,18 +25,14 @@
     UpstreamModel,
     arrival_gap_ms,
 )
+from .placement_node import SimulatedNode, make_node
 
 CLIENT_MS = 2
-IDLE_MS = 9_000
 HEARTBEAT_MS = 300
 REGION_SUMMARY_MS = 250
 DISTANT_SUMMARY_MS = 1_000
 QUEUED_PER_SLOT = 3
 OBJECT_SKEW = 0.2
-HOST = "h"
-SHARED_LIMITS = SharedLimits(
-    retry_fraction=0.2, retry_slack=200, max_region_shift=0.15, stop_grace_ms=6_000
-)
 
 
 @dataclass(slots=True)
@@ -63,37 +53,6 @@
             self.on_set()
 
 
-@dataclass(slots=True)
-class SimulatedNode:
-    """Hold the placement state of one node."""
-
-    location: Location
-    state: EntryState
-    placer: Placer
-    idle_until_ms: dict[str, list[int]] = field(default_factory=dict)
-
-    def is_connected(self, upstream: Upstream) -> bool:
-        """Return whether a connection to an upstream is idle."""
-        now_ms = self.state.clock.now_ms()
-        return any(
-            end_ms > now_ms for end_ms in self.idle_until_ms.get(upstream.name, ())
-        )
-
-    def take_connection(self, upstream: Upstream) -> bool:
-        """Take an idle connection; return False if there is none."""
-        now_ms = self.state.clock.now_ms()
-        idle = self.idle_until_ms.get(upstream.name, [])
-        while idle:
-            if idle.pop() > now_ms:
-                return True
-        return False
-
-    def keep_connection(self, upstream: Upstream) -> None:
-        """Keep a connection for a later request."""
-        idle = self.idle_until_ms.setdefault(upstream.name, [])
-        idle.append(self.state.clock.now_ms() + IDLE_MS)
-
-
 @dataclass(slots=True)
 class PlacementSimulation:
     """Run one deployment's load; `calls` holds how each request ended."""
@@ -121,10 +80,15 @@
         for region in self.model.phases:
             for index in range(self.model.domains_per_region):
                 domain = f"{region}-{index}"
-                names = range(self.model.nodes_per_domain)
                 self.nodes[domain] = [
-                    self.make_node(f"{domain}-{n}", Location(domain, region))
-                    for n in names
+                    make_node(
+                        f"{domain}-{number}",
+                        Location(domain, region),
+                        self.clock,
+                        self.model,
+                        list(self.specs.values()),
+                    )
+                    for number in range(self.model.nodes_per_domain)
                 ]
 
     def add_upstreams(self, service: ServiceModel) -> None:
@@ -140,37 +104,6 @@
                     service, self.rng, service.slots * QUEUED_PER_SLOT
                 )
 
-    def make_node(self, name: str, location: Location) -> SimulatedNode:
-        """Return a node that knows all upstreams and its configuration."""
-        state = EntryState(name, location, SHARED_LIMITS, self.clock)
-        routes = tuple(
-            RouteRule(
-                s.name,
-                HOST,
-                f"/{s.name}/",
-                s.idempotent,
-                (WeightedService(s.name, 1),),
-                s.timeout_ms,
-                s.target_ms,
-                2,
-                s.priority,
-                True,
-            )
-            for s in self.model.services
-        )
-        pools = {s.name: PoolConfig(s.name) for s in self.model.services}
-        state.install(RoutingConfig(1, routes, pools))
-        for spec in self.specs.values():
-            state.upstreams.put(spec, draining=False)
-        state.set_known_nodes(
-            len(self.model.phases)
-            * self.model.domains_per_region
-            * self.model.nodes_per_domain
-        )
-        node = SimulatedNode(location, state, Placer(state))
-        state.selector.is_connected = node.is_connected
-        return node
-
     def at(self, at_ms: int, function: Callable[..., None], *args: Any) -> None:
         """Schedule a call."""
         self.event_count += 1
