--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -92,6 +92,7 @@
     link: LinkProxy
     zone: str
     born: int
+    cold_until_ms: int = 0
     is_beating: bool = True
     state: str = "ready"
     silent_beats: int = 0
@@ -181,22 +182,22 @@
         link.start()
         zone = list(ZONES)[index % len(ZONES)]
         upstream = SoakUpstream(process, link, zone, self.clock.wall_ms())
+        now_ms = self.clock.now_ms()
+        upstream.cold_until_ms = now_ms + int(cold_s * MS_PER_SECOND)
         self.upstreams[name] = upstream
-        self.register(name, cold_s)
-        if cold_s:
-            now_ms = self.clock.now_ms()
-            until_ms = now_ms + int(cold_s * MS_PER_SECOND)
-            cold = ColdTime(name, now_ms, until_ms, MAX_COLD_PER_S)
-            self.history.cold_times.append(cold)
+        self.register(name)
+        cold = ColdTime(name, now_ms, upstream.cold_until_ms, MAX_COLD_PER_S)
+        self.history.cold_times.append(cold)
         return name
 
-    def register(self, name: str, cold_s: float = 0.0) -> None:
+    def register(self, name: str) -> None:
         """Write an upstream's entry as it is now."""
         upstream = self.upstreams[name]
         self.sequence += 1
         entry = upstream_entry(upstream.link.address, SLOTS, upstream.zone)
         entry["born"] = upstream.born
-        status = upstream_status(upstream.state, self.sequence, cold_s)
+        cold_ms = max(0, upstream.cold_until_ms - self.clock.now_ms())
+        status = upstream_status(upstream.state, self.sequence, cold_ms / MS_PER_SECOND)
         self.store.table.put("servers", name, entry, status)
         self.store.notify()
 
