--- a/packages/bilberry_router/src/bilberry_router/entry/events.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/events.py
@@ -26,8 +26,8 @@
     """Count a service's upstreams by why they couldn't take a request.
 
     `closed` upstreams are draining, evacuated or not eligible; `held_back`
-    ones are failing or cold; `full` ones have no free slot. `queued` is the
-    number of requests that wait on this node.
+    ones are failing or cold; `full` ones have no free slot and enough requests
+    waiting. `queued` is the number of requests that wait on this node.
     """
 
     known: int
