Clear a request that was answered of its suspicion at all nodes

Callers that send the same request again and again had one in flight at each of three upstreams that were killed; all such requests were refused from then on, for up to five minutes, though nodes answered thousands in between. A node that answers a suspected request cleared it for itself only; peers went on telling each other of the crashes, and brought them back.

Ruled out: a shorter quarantine (a request that does crash upstreams is never answered, and stays refused).

--- a/packages/bilberry_balance/src/bilberry_balance/placement/crashes.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/crashes.py
@@ -8,6 +8,8 @@
 from collections import deque
 from dataclasses import dataclass
 
+import msgspec
+
 from ..quarantine import (
     Quarantined,
     QuarantineTable,
@@ -15,6 +17,7 @@
     request_fingerprint,
 )
 from .const import (
+    CLEARANCE_SHARE_MS,
     CRASH_CONFIRM_MS,
     CRASHES_TO_REFUSE,
     MAX_SHARED_REPORTS,
@@ -32,12 +35,16 @@
 
 
 class CrashDetector:
-    """Track suspected requests, as seen by this node and its peers."""
+    """Track suspected requests, as seen by this node and its peers.
+
+    An answer at any node clears a request for all of them.
+    """
 
-    __slots__ = ("lost_answers", "table")
+    __slots__ = ("cleared_at_ms", "lost_answers", "table")
 
     def __init__(self, node: str) -> None:
         self.table = QuarantineTable(node, crash_limit=CRASHES_TO_REFUSE)
+        self.cleared_at_ms: dict[str, int] = {}
         self.lost_answers: deque[LostAnswer] = deque()
 
     def find_quarantine(self, fingerprint: str, now_ms: int) -> Quarantined | None:
@@ -63,24 +70,47 @@
         return [lost.fingerprint for lost in crashed]
 
     def on_answer(self, fingerprint: str, now_ms: int) -> None:
-        """Clear the suspicion of a request that was answered."""
-        self.table.on_success(fingerprint, now_ms)
+        """Clear, for all nodes, the suspicion of an answered request."""
+        if self.table.on_success(fingerprint, now_ms) is not None:
+            self.cleared_at_ms[fingerprint] = now_ms
 
     def reports(self, now_ms: int) -> list[SuspectReport]:
-        """Return the reports of recent crashes to send to peers."""
-        fresh = [
+        """Return the recent clearances and crashes to send to peers."""
+        self._expire(now_ms)
+        cleared = [
+            SuspectReport(fingerprint, (), 0, cleared=True)
+            for fingerprint, at_ms in self.cleared_at_ms.items()
+            if now_ms - at_ms < CLEARANCE_SHARE_MS
+        ]
+        crashed = [
             report
             for report in self.table.reports(now_ms)
             if min(crash.ago_ms for crash in report.crashes) < SHARED_REPORT_MAX_AGE_MS
         ]
-        return fresh[:MAX_SHARED_REPORTS]
+        return [*cleared, *crashed][:MAX_SHARED_REPORTS]
 
     def merge(self, reports: list[SuspectReport], now_ms: int) -> None:
-        """Merge the reports that a peer has sent."""
+        """Merge the reports that a peer has sent.
+
+        Crashes from before an answer to the same request count no more.
+        """
         for report in reports:
-            self.table.merge(report, now_ms)
+            if report.cleared and report.fingerprint in self.table.suspects:
+                self.cleared_at_ms[report.fingerprint] = now_ms
+            self.table.merge(self._without_old_crashes(report, now_ms), now_ms)
+
+    def _without_old_crashes(self, report: SuspectReport, now_ms: int) -> SuspectReport:
+        cleared_at_ms = self.cleared_at_ms.get(report.fingerprint)
+        if cleared_at_ms is None:
+            return report
+        since_ms = now_ms - cleared_at_ms
+        crashes = tuple(crash for crash in report.crashes if crash.ago_ms < since_ms)
+        return msgspec.structs.replace(report, crashes=crashes)
 
     def _expire(self, now_ms: int) -> None:
+        for fingerprint, at_ms in list(self.cleared_at_ms.items()):
+            if now_ms - at_ms >= SHARED_REPORT_MAX_AGE_MS:
+                del self.cleared_at_ms[fingerprint]
         while (
             self.lost_answers
             and now_ms - self.lost_answers[0].lost_at_ms > CRASH_CONFIRM_MS
