Drop what the soak and the placement simulation kept and never used

Found in the last read of the whole change: the soak recorded an answer's digest and checked nothing with it, the simulation summed work by region for no one, and looked up a service's route in two places.

--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -10,11 +10,11 @@
 from bilberry_balance.placement.admission import Refusal
 from bilberry_balance.placement.candidates import Selection, UpstreamRequirements
 from bilberry_balance.placement.distances import Distance, Location
+from bilberry_balance.placement.processing_times import ProcessingTimes
 from bilberry_balance.placement.queue import QueueEntry
 from bilberry_balance.placement.upstream import UpstreamSpec
 from bilberry_core.clock import ManualClock
 from bilberry_core.const import MS_PER_SECOND
-from bilberry_resources.routing import RouteRule
 from bilberry_router.entry.const import QUEUE_POLL_MS
 from bilberry_router.entry.placer import PlacementRequest
 
@@ -70,7 +70,6 @@
     nodes: dict[str, list[SimulatedNode]] = field(default_factory=dict)
     calls: list[Call] = field(default_factory=list)
     connects: int = 0
-    work_ms: Counter[str] = field(default_factory=Counter)
 
     def __post_init__(self) -> None:
         """Create the upstreams and the nodes."""
@@ -157,9 +156,8 @@
         node = self.rng.choice(self.nodes[call.domain])
         service = call.service
         now_ms = self.clock.now_ms()
-        rule = next(r for r in self.routes(node) if r.name == service.name)
         requirements = UpstreamRequirements(
-            service.name, call.key, node.state.processing_times(rule, service.name)
+            service.name, call.key, self.processing_times(node, service)
         )
         grant = Grant()
         request = PlacementRequest(
@@ -185,10 +183,14 @@
             end_ms = max(now_ms, begun.give_up_at_ms) + 1
             self.at(end_ms, self.give_up, node, call, begun, now_ms)
 
-    def routes(self, node: SimulatedNode) -> tuple[RouteRule, ...]:
-        """Return the routes that a node has."""
+    def processing_times(
+        self, node: SimulatedNode, service: ServiceModel
+    ) -> ProcessingTimes:
+        """Return what a node knows of the times of a service's requests."""
         config = node.state.routes.config
-        return config.routes if config else ()
+        assert config is not None, "each node has a configuration"
+        rule = next(rule for rule in config.routes if rule.name == service.name)
+        return node.state.processing_times(rule, service.name)
 
     def end_wait(
         self,
@@ -264,7 +266,6 @@
         """Occupy a slot until the work is done."""
         upstream = self.upstreams[selection.upstream.name]
         work_ms = upstream.begin(call.key)
-        self.work_ms[call.region] += work_ms
         self.after(work_ms, self.finish, node, call, selection, sent_at_ms)
 
     def finish(
@@ -290,8 +291,7 @@
         """Record an answer at its node and hand it to the caller."""
         now_ms = self.clock.now_ms()
         state, upstream = node.state, selection.upstream
-        rule = next(r for r in self.routes(node) if r.name == call.service.name)
-        times = state.processing_times(rule, call.service.name)
+        times = self.processing_times(node, call.service)
         node.placer.release(upstream)
         upstream.on_report(*load, now_ms)
         upstream.on_answer(0, now_ms)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -156,7 +156,6 @@
         made.ended_ms = clock.now_ms()
         made.status = answer.status
         made.answer_id = answer.headers.get(HEADER_NAMES.request_id.lower(), "")
-        made.digest = answer.headers.get(HEADER_NAMES.digest.lower(), "")
         made.body = answer.body
         return answer.headers.get("connection", "").lower() != "close"
 
--- a/soak/history.py
+++ b/soak/history.py
@@ -29,7 +29,6 @@
     ended_ms: int = 0
     status: int | None = None
     answer_id: str = ""
-    digest: str = ""
     body: bytes = b""
     closed: bool = False
 
