Mark a VM as leaving when it reads the VM list itself

Relays read the platform's VM list in turns of 2 s. A relay that is itself listed as leaving ignored the entry about itself, so that its turn was lost and the others learnt of it up to 4 s later. With three relays, a change that falls into the second half of the turn before its own is late: one in six.

Found beside it: a suspicion of the same moment outranks the leaving state. The member refutes it and is live again, and named by look-ups until the next turn.

Ruled out: the bound (it stays), a busy machine (the simulated clock shows it).

Change: a node applies the entry about itself, and a reader keeps which incarnations were listed as leaving and says so again when one is usable.

--- a/bench/distribution_driver.py
+++ b/bench/distribution_driver.py
@@ -22,7 +22,7 @@
 from bilberry_fleet.read_schedule import ReadOperation, StoreRead
 from bilberry_fleet.settings import FleetSettings
 from bilberry_resources.codec import encode
-from bilberry_store.wire import ObjectList, VmItem, WatchBatch
+from bilberry_store.wire import ObjectList, VmItem, VmState, WatchBatch
 from bilberry_testing.platform import ObjectTable
 from bilberry_testing.platform.messages import PlatformObject
 from bilberry_testing.platform.table import RefusalReason
@@ -116,6 +116,15 @@
                 node.apply_list(StoreRead(kind, ReadOperation.LIST), listed, self.now)
             node.pull_schedule.bootstrap_addresses = []
 
+    def list_as_leaving(self, name: str) -> None:
+        """Let the VM list name a VM as leaving from now on."""
+        self.vms = [
+            msgspec.structs.replace(vm, state=VmState.LEAVING)
+            if vm.name == name
+            else vm
+            for vm in self.vms
+        ]
+
     def tick(self, driven: Driven) -> None:
         """Run a node's tick and plan the next one."""
         if driven.alive:
--- a/packages/bilberry_fleet/src/bilberry_fleet/membership.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/membership.py
@@ -61,6 +61,7 @@
         "facts",
         "last_change_ms",
         "last_heartbeat_ms",
+        "leaving_incarnations",
         "listed_vms",
         "members_by_domain",
         "own",
@@ -83,6 +84,8 @@
         self.avoided_until_ms: dict[str, int] = {}
         self.relay_cache: dict[str, list[str]] = {}
         self.listed_vms: frozenset[str] = frozenset()
+        # The incarnations that the VM list named as leaving.
+        self.leaving_incarnations: dict[str, int] = {}
         self.roster_changed = False
 
     def start(self, now_ms: int) -> None:
@@ -112,6 +115,7 @@
             self.refute(fact, member, now_ms)
             return
         self.update_roster(member, fact.stamp[1] // RANKS_PER_CHANGE, now_ms)
+        self.announce_listed_leaving(member.name, now_ms)
         if member.name == sender:
             self.last_heartbeat_ms[sender] = now_ms
             self.declare_former_holder_dead(member, now_ms)
@@ -256,24 +260,43 @@
 
     def apply_vm_list(
         self, items: list[VmItem], unreachable: list[str], now_ms: int
-    ) -> None:
-        """Apply the platform's VM list, which may lag behind.
+    ) -> bool:
+        """Apply the platform's VM list; return whether this node changed.
 
-        Members listed as leaving become leaving. A member that is not
-        listed is declared dead only in an unreachable failure domain;
-        elsewhere its relay monitors its heartbeats.
+        The list may lag behind. Members listed as leaving become leaving,
+        this node too. A member that is not listed is declared dead only in
+        an unreachable failure domain; elsewhere its relay monitors its
+        heartbeats.
         """
-        for item in items:
-            member = self.roster.get(item.name)
-            is_usable = member is not None and member.state in USABLE_STATES
-            if member is not None and is_usable and item.state == VmState.LEAVING:
-                self.change_state(member, MemberState.LEAVING, now_ms)
+        former = self.own
+        self.leaving_incarnations = {
+            item.name: self.roster[item.name].incarnation
+            for item in items
+            if item.state == VmState.LEAVING and item.name in self.roster
+        }
+        for name in self.leaving_incarnations:
+            self.announce_listed_leaving(name, now_ms)
         listed_vms = frozenset(item.name for item in items)
         self.listed_vms = listed_vms
         for domain in unreachable:
             for member in list(self.members_by_domain.get(domain, {}).values()):
                 if listed_vms and member.name not in listed_vms:
                     self.change_state(member, MemberState.DEAD, now_ms)
+        return self.own is not former
+
+    def announce_listed_leaving(self, name: str, now_ms: int) -> None:
+        """Announce a usable member that the VM list named as leaving.
+
+        A member that refutes a concurrent suspicion is usable once more.
+        """
+        member = self.roster[name]
+        is_listed = self.leaving_incarnations.get(name) == member.incarnation
+        if not is_listed or member.state not in USABLE_STATES:
+            return
+        if name == self.own.name:
+            self.set_own_state(MemberState.LEAVING, now_ms)
+        else:
+            self.change_state(member, MemberState.LEAVING, now_ms)
 
     def is_departed(self, name: str) -> bool:
         """Return whether a VM is silent and no longer on the VM list."""
--- a/packages/bilberry_fleet/src/bilberry_fleet/node.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/node.py
@@ -329,11 +329,11 @@
     def apply_vm_list(self, read: StoreRead, items: list[VmItem], now_ms: int) -> None:
         """Apply the platform's VM list; pull from unknown VMs on it."""
         self.read_schedule.record_answer(read, True, now_ms)
-        self.membership.apply_vm_list(items, self.unreachable(now_ms), now_ms)
+        if self.membership.apply_vm_list(items, self.unreachable(now_ms), now_ms):
+            self.queue_own_fact()
         if not self.pull_schedule.bootstrap_addresses:
-            unknown_addresses = self.membership.unknown_addresses(items)
             self.pull_schedule.schedule_bootstrap(
-                unknown_addresses, self.membership.is_alone()
+                self.membership.unknown_addresses(items), self.membership.is_alone()
             )
 
     def emit_config_installed(self) -> None:
@@ -395,6 +395,5 @@
 
     def pop_events(self) -> list[FleetEvent]:
         """Return the events since the last call."""
-        events = self.events
-        self.events = []
+        events, self.events = self.events, []
         return events
--- a/tests/bilberry_fleet/test_faults.py
+++ b/tests/bilberry_fleet/test_faults.py
@@ -9,12 +9,13 @@
 from bilberry_fleet.settings import FleetSettings
 
 IN_FORCE_MS = 16_000
+LISTED_SLACK_MS = 1_000
 BYTES_PER_S = 5_000
 SPEC = {"region": "region-0", "failure_domain": "domain-00"}
 
 
-def fleet(nodes, regions=3, domains=3, sites=6):
-    driver = Driver(7, FleetSettings())
+def fleet(nodes, regions=3, domains=3, sites=6, settings=None):
+    driver = Driver(7, settings or FleetSettings())
     members = [make_member(i, regions, domains, sites) for i in range(nodes)]
     driver.vms = [vm_item(m) for m in members]
     driver.put("site", "s", SPEC)
@@ -324,6 +325,33 @@
     )
 
 
+@pytest.mark.parametrize("offset_ms", range(0, 6_000, 500))
+def test_a_vm_listed_as_leaving_is_known_whoever_reads_the_list_next(offset_ms):
+    settings = FleetSettings(vms_ms=2_000)
+    driver = fleet(3, settings=settings)
+    leaving = driver.live()[1].name
+    assert leaving in relays(driver)
+    driver.run(offset_ms)
+    driver.list_as_leaving(leaving)
+    driver.run(settings.vms_ms + LISTED_SLACK_MS)
+    assert states(driver, leaving) == {MemberState.LEAVING}
+    assert driver.nodes[leaving].node.own.state is MemberState.LEAVING
+
+
+def test_a_suspicion_at_the_same_moment_does_not_hide_that_a_vm_leaves(driver):
+    name = next(d.name for d in driver.live() if not d.node.is_relay)
+    relay = driver.live()[0].node.membership.relays("domain-00")[0]
+    roster = driver.nodes[relay].node.membership
+    roster.change_state(roster.roster[name], MemberState.SUSPECT, driver.now)
+    driver.list_as_leaving(name)
+    items = list(driver.vms)
+    for reader in relays(driver):
+        driver.nodes[reader].node.membership.apply_vm_list(items, [], driver.now)
+    assert driver.run_until(
+        lambda: states(driver, name) == {MemberState.LEAVING}, LISTED_SLACK_MS
+    )
+
+
 def test_new_relays_do_not_forward_their_partial_plan():
     def own_part(body, name):
         whole = msgspec.json.decode(body)
