Tell other nodes which upstreams are slow

A node learns from its own answers that an upstream is slow; with 90 nodes and 16 slow upstreams that is up to 1,440 late requests. Heartbeats told the load of an upstream, not how long its requests take.

Change: heartbeats and summaries carry the upstreams that were found slow in the last 2 s, with the mean ratio of their processing times and the age of the last observation. The newest observation of any node counts for all, also one that finds the upstream fast again; what was heard is passed on with its age, so that it ends. The wait expected at a full upstream grows with its slowness.

--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -4,6 +4,7 @@
 import random
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
+from typing import Any
 
 from bilberry_core.const import MS_PER_SECOND
 
@@ -36,6 +37,21 @@
     idempotent: bool = True
 
 
+@dataclass(slots=True, frozen=True)
+class SlowSpell:
+    """Describe a time in which a share of a service's upstreams is slow.
+
+    Requests that begin between `at_ms` and `end_ms` take `factor` times as
+    long there.
+    """
+
+    service: str
+    at_ms: int
+    end_ms: int
+    share: float
+    factor: float
+
+
 @dataclass(slots=True, frozen=True)
 class DeploymentModel:
     """Describe regions, nodes and load; delays are one-way, in ms.
@@ -51,6 +67,7 @@
     services: tuple[ServiceModel, ...]
     domain_ms: int = 4
     region_ms: int = 55
+    slow_spell: SlowSpell | None = None
 
     def load_factor(self, region: str, now_ms: int) -> float:
         """Return a region's load at a time, as a ratio to its mean."""
@@ -71,6 +88,10 @@
     retries_left: int = 1
     refused: bool = False
 
+    def deadline_ms(self) -> int:
+        """Return when its caller gives up."""
+        return self.started_ms + self.service.timeout_ms
+
     def credit(self) -> float:
         """Return what the answer is worth to the caller."""
         if self.ended_ms is None:
@@ -87,21 +108,26 @@
     service: ServiceModel
     rng: random.Random
     queue_limit: int
+    slow_spell: SlowSpell | None = None
     running: int = 0
-    waiting: deque[object] = field(default_factory=deque)
+    waiting: deque[Any] = field(default_factory=deque)
     cached: OrderedDict[str, None] = field(default_factory=OrderedDict)
     hits: int = 0
     misses: int = 0
 
-    def begin(self, key: str) -> int:
+    def begin(self, key: str, now_ms: int) -> int:
         """Occupy a slot; return how long the work takes, in ms."""
         self.running += 1
+        spell = self.slow_spell
+        is_slow = spell is not None and spell.at_ms <= now_ms < spell.end_ms
         work = self.service.work_ms * self.rng.gauss(1.0, WORK_SPREAD)
         if key in self.cached:
             self.hits += 1
             work *= KNOWN_OBJECT_FRACTION
         else:
             self.misses += 1
+        if spell is not None and is_slow:
+            work *= spell.factor
         return max(1, int(work))
 
     def end(self, key: str) -> None:
--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -12,6 +12,11 @@
 from bilberry_balance.placement.distances import Distance, Location
 from bilberry_balance.placement.processing_times import ProcessingTimes
 from bilberry_balance.placement.queue import QueueEntry
+from bilberry_balance.placement.slow_reports import (
+    SlowReport,
+    make_slow_reports,
+    merge_slow_reports,
+)
 from bilberry_balance.placement.upstream import UpstreamSpec
 from bilberry_core.clock import ManualClock
 from bilberry_core.const import MS_PER_SECOND
@@ -22,6 +27,7 @@
     Call,
     DeploymentModel,
     ServiceModel,
+    SlowSpell,
     UpstreamModel,
     arrival_gap_ms,
 )
@@ -53,6 +59,18 @@
             self.on_set()
 
 
+@dataclass(slots=True)
+class SimulatedAttempt:
+    """Represent one attempt; its work ends early once it `has_ended`."""
+
+    node: SimulatedNode
+    call: Call
+    selection: Selection
+    sent_at_ms: int
+    is_working: bool = False
+    has_ended: bool = False
+
+
 @dataclass(slots=True)
 class PlacementSimulation:
     """Run one deployment's load; `calls` holds how each request ended."""
@@ -100,9 +118,20 @@
                     name, service.name, name, domain, region, service.slots
                 )
                 self.upstreams[name] = UpstreamModel(
-                    service, self.rng, service.slots * QUEUED_PER_SLOT
+                    service,
+                    self.rng,
+                    service.slots * QUEUED_PER_SLOT,
+                    self.slow_spell_of(service, index),
                 )
 
+    def slow_spell_of(self, service: ServiceModel, index: int) -> SlowSpell | None:
+        """Return the slow spell of a region's `index`-th upstream, if any."""
+        spell = self.model.slow_spell
+        if spell is None or spell.service != service.name:
+            return None
+        is_slow = int((index + 1) * spell.share) > int(index * spell.share)
+        return spell if is_slow else None
+
     def at(self, at_ms: int, function: Callable[..., None], *args: Any) -> None:
         """Schedule a call."""
         self.event_count += 1
@@ -166,7 +195,7 @@
             service.target_ms,
             now_ms,
             now_ms + service.target_ms,
-            now_ms + service.timeout_ms,
+            call.deadline_ms(),
             grant,
         )
         begun = node.placer.begin(request, now_ms)
@@ -219,7 +248,7 @@
 
     def refuse(self, call: Call, refusal: Refusal) -> None:
         """Let a refused caller come back once, if there is time."""
-        left_ms = call.started_ms + call.service.timeout_ms - self.clock.now_ms()
+        left_ms = call.deadline_ms() - self.clock.now_ms()
         if call.retries_left and refusal.retry_after_ms <= left_ms / 3:
             call.retries_left -= 1
             self.after(refusal.retry_after_ms + 2 * CLIENT_MS, self.submit, call)
@@ -230,88 +259,111 @@
 
     def send(self, node: SimulatedNode, call: Call, selection: Selection) -> None:
         """Send a request to the selected upstream."""
-        delay_ms = self.delay_ms(node.location, selection.upstream.spec)
-        if not node.take_connection(selection.upstream):
-            self.connects += 1
-            node.state.selector.distances.observe(selection.upstream.spec, 2 * delay_ms)
-            self.after(2 * delay_ms, self.send_connected, node, call, selection)
+        upstream = selection.upstream
+        attempt = SimulatedAttempt(node, call, selection, self.clock.now_ms())
+        delay_ms = self.delay_ms(node.location, upstream.spec)
+        self.at(call.deadline_ms(), self.time_out, attempt)
+        if node.take_connection(upstream):
+            self.after(delay_ms, self.receive, attempt)
         else:
-            self.send_connected(node, call, selection)
-
-    def send_connected(
-        self, node: SimulatedNode, call: Call, selection: Selection
-    ) -> None:
-        """Send a request on a connection."""
-        delay_ms = self.delay_ms(node.location, selection.upstream.spec)
-        sent_at_ms = self.clock.now_ms()
-        self.after(delay_ms, self.receive, node, call, selection, sent_at_ms)
+            self.connects += 1
+            node.state.selector.distances.observe(upstream.spec, 2 * delay_ms)
+            self.after(3 * delay_ms, self.receive, attempt)
 
-    def receive(
-        self, node: SimulatedNode, call: Call, selection: Selection, sent_at_ms: int
-    ) -> None:
+    def receive(self, attempt: SimulatedAttempt) -> None:
         """Run a request at its upstream, queue it or turn it away."""
-        upstream = self.upstreams[selection.upstream.name]
+        upstream = self.upstreams[attempt.selection.upstream.name]
         if upstream.running < upstream.service.slots:
-            self.work(node, call, selection, sent_at_ms)
+            self.work(attempt)
         elif len(upstream.waiting) < upstream.queue_limit:
-            upstream.waiting.append((node, call, selection, sent_at_ms))
+            upstream.waiting.append(attempt)
         else:
-            delay_ms = self.delay_ms(node.location, selection.upstream.spec)
-            waiting = len(upstream.waiting)
-            self.after(delay_ms, self.turned_away, node, call, selection, waiting)
+            self.after(
+                self.way_back_ms(attempt),
+                self.turned_away,
+                attempt,
+                len(upstream.waiting),
+            )
 
-    def work(
-        self, node: SimulatedNode, call: Call, selection: Selection, sent_at_ms: int
-    ) -> None:
+    def work(self, attempt: SimulatedAttempt) -> None:
         """Occupy a slot until the work is done."""
-        upstream = self.upstreams[selection.upstream.name]
-        work_ms = upstream.begin(call.key)
-        self.after(work_ms, self.finish, node, call, selection, sent_at_ms)
-
-    def finish(
-        self, node: SimulatedNode, call: Call, selection: Selection, sent_at_ms: int
-    ) -> None:
-        """End a request's work and start the next one that waits."""
-        upstream = self.upstreams[selection.upstream.name]
-        upstream.end(call.key)
-        if upstream.waiting:
-            self.work(*upstream.waiting.popleft())  # type: ignore[misc]
+        upstream = self.upstreams[attempt.selection.upstream.name]
+        attempt.is_working = True
+        work_ms = upstream.begin(attempt.call.key, self.clock.now_ms())
+        self.after(work_ms, self.finish, attempt)
+
+    def finish(self, attempt: SimulatedAttempt) -> None:
+        """End a request's work, unless it was cancelled, and answer it."""
+        if not attempt.is_working:
+            return
+        self.free_slot(attempt)
+        upstream = self.upstreams[attempt.selection.upstream.name]
         load = (upstream.running, len(upstream.waiting))
-        delay_ms = self.delay_ms(node.location, selection.upstream.spec)
-        self.after(delay_ms, self.answered, node, call, selection, sent_at_ms, load)
+        self.after(self.way_back_ms(attempt), self.answered, attempt, load)
 
-    def answered(
-        self,
-        node: SimulatedNode,
-        call: Call,
-        selection: Selection,
-        sent_at_ms: int,
-        load: tuple[int, int],
-    ) -> None:
+    def free_slot(self, attempt: SimulatedAttempt) -> None:
+        """End a request's work and start the next one that waits."""
+        upstream = self.upstreams[attempt.selection.upstream.name]
+        attempt.is_working = False
+        upstream.end(attempt.call.key)
+        while upstream.waiting:
+            waiting = upstream.waiting.popleft()
+            if not waiting.has_ended:
+                self.work(waiting)
+                return
+
+    def way_back_ms(self, attempt: SimulatedAttempt) -> int:
+        """Return the one-way delay from an attempt's upstream."""
+        return self.delay_ms(attempt.node.location, attempt.selection.upstream.spec)
+
+    def answered(self, attempt: SimulatedAttempt, load: tuple[int, int]) -> None:
         """Record an answer at its node and hand it to the caller."""
+        if attempt.has_ended:
+            return
         now_ms = self.clock.now_ms()
-        state, upstream = node.state, selection.upstream
-        times = self.processing_times(node, call.service)
-        node.placer.release(upstream)
+        self.end_attempt(attempt)
+        node, upstream = attempt.node, attempt.selection.upstream
+        times = self.processing_times(node, attempt.call.service)
         upstream.on_report(*load, now_ms)
         upstream.on_answer(0, now_ms)
         node.keep_connection(upstream)
-        distances = state.selector.distances
+        distances = node.state.selector.distances
         way_ms = distances.round_trip_ms(upstream.spec)
         is_local = distances.between(upstream.spec) is not Distance.OTHER_REGION
-        took_ms = max(0.0, now_ms - sent_at_ms - way_ms)
-        ratio = times.observe(selection.warmth, took_ms, is_local)
+        took_ms = max(0.0, now_ms - attempt.sent_at_ms - way_ms)
+        ratio = times.observe(attempt.selection.warmth, took_ms, is_local)
         upstream.on_processing_time(ratio, now_ms)
-        call.ended_ms = now_ms + CLIENT_MS
+        attempt.call.ended_ms = now_ms + CLIENT_MS
 
-    def turned_away(
-        self, node: SimulatedNode, call: Call, selection: Selection, waiting: int
-    ) -> None:
+    def turned_away(self, attempt: SimulatedAttempt, waiting: int) -> None:
         """Place a request again that a full upstream refused."""
+        if attempt.has_ended:
+            return
+        self.end_attempt(attempt)
         now_ms = self.clock.now_ms()
-        node.placer.release(selection.upstream)
-        selection.upstream.on_shed(False, waiting, now_ms)
-        self.submit(call)
+        attempt.selection.upstream.on_shed(False, waiting, now_ms)
+        self.submit(attempt.call)
+
+    def time_out(self, attempt: SimulatedAttempt) -> None:
+        """Cancel an attempt that has no answer at its deadline."""
+        if attempt.has_ended:
+            return
+        self.end_attempt(attempt)
+        now_ms = self.clock.now_ms()
+        expected_ms = max(attempt.selection.expected_ms, 1.0)
+        ratio = (now_ms - attempt.sent_at_ms) / expected_ms
+        attempt.selection.upstream.on_processing_time(ratio, now_ms)
+        self.after(self.way_back_ms(attempt), self.cancel_work, attempt)
+
+    def cancel_work(self, attempt: SimulatedAttempt) -> None:
+        """Free the slot of a cancelled request."""
+        if attempt.is_working:
+            self.free_slot(attempt)
+
+    def end_attempt(self, attempt: SimulatedAttempt) -> None:
+        """Release the slot that its node had reserved."""
+        attempt.has_ended = True
+        attempt.node.placer.release(attempt.selection.upstream)
 
     # What nodes tell each other
 
@@ -319,9 +371,11 @@
         """Tell the other nodes of the domain this node's requests."""
         counts = node.state.in_flight()
         now_ms = self.clock.now_ms()
+        slow = make_slow_reports(node.state.upstreams.by_name.values(), now_ms)
         for peer in self.nodes[node.location.failure_domain]:
             if peer is not node:
                 peer.state.peer_loads.update(node.state.node, counts, now_ms)
+                merge_slow_reports(slow, peer.state.upstreams.by_name, now_ms)
         self.after(HEARTBEAT_MS, self.send_heartbeat, node)
 
     def send_summaries(self, domain: str, interval_ms: int, in_region: bool) -> None:
@@ -329,13 +383,15 @@
         total: Counter[str] = Counter()
         for node in self.nodes[domain]:
             total.update(node.state.in_flight())
+        leader = self.nodes[domain][0].state
+        slow = make_slow_reports(leader.upstreams.by_name.values(), self.clock.now_ms())
         region = domain.rpartition("-")[0]
         for other, nodes in self.nodes.items():
             same = other.rpartition("-")[0] == region
             if other == domain or same is not in_region:
                 continue
             delay_ms = self.model.domain_ms if same else self.model.region_ms
-            self.after(delay_ms, self.receive_summary, nodes, domain, total, same)
+            self.after(delay_ms, self.receive_summary, nodes, domain, total, slow, same)
         self.after(interval_ms, self.send_summaries, domain, interval_ms, in_region)
 
     def receive_summary(
@@ -343,6 +399,7 @@
         nodes: list[SimulatedNode],
         domain: str,
         total: Counter[str],
+        slow: list[SlowReport],
         same_region: bool,
     ) -> None:
         """Merge another domain's requests at some nodes."""
@@ -353,6 +410,7 @@
                 loads.update(domain, total, now_ms)
             else:
                 loads.update_mean(domain, total, now_ms)
+            merge_slow_reports(slow, node.state.upstreams.by_name, now_ms)
 
     def poll_queues(self, node: SimulatedNode) -> None:
         """Serve a node's queues, as it does at regular intervals."""
--- a/packages/bilberry_balance/src/bilberry_balance/placement/costs.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/costs.py
@@ -62,9 +62,12 @@
     return fraction * processing_times.miss_ms()
 
 
-def slot_interval_ms(upstream: Upstream, processing_times: ProcessingTimes) -> float:
+def slot_interval_ms(
+    upstream: Upstream, processing_times: ProcessingTimes, now_ms: int
+) -> float:
     """Return the expected time until a slot of a full upstream is free."""
-    return processing_times.expected_ms(Warmth.KNOWN) / upstream.spec.slots
+    known_ms = processing_times.expected_ms(Warmth.KNOWN)
+    return known_ms * upstream.slow_factor(now_ms) / upstream.spec.slots
 
 
 def expected_wait_ms(
@@ -72,12 +75,13 @@
     processing_times: ProcessingTimes,
     wait_state: WaitState,
     upstream_count: int,
+    now_ms: int,
 ) -> float:
     """Return the expected remaining wait for a slot of a full upstream, in ms.
 
     The other waiting requests are assumed to be spread over `upstream_count`
     upstreams. A request that has waited long is expected to wait longer.
     """
-    interval_ms = slot_interval_ms(upstream, processing_times)
+    interval_ms = slot_interval_ms(upstream, processing_times, now_ms)
     wait = interval_ms * (1.0 + wait_state.queued / upstream_count)
     return max(wait, ELAPSED_WAIT_FRACTION * wait_state.waited_ms)
--- a/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
@@ -233,12 +233,16 @@
             if ahead is None:
                 if self._is_worth_waiting_for(upstream, warmth, now_ms):
                     cost_ms += expected_wait_ms(
-                        upstream, requirements.processing_times, wait_state, local_count
+                        upstream,
+                        requirements.processing_times,
+                        wait_state,
+                        local_count,
+                        now_ms,
                     )
                     candidates.wait_cost_ms = min(candidates.wait_cost_ms, cost_ms)
             elif self._accepts_object(upstream, warmth, busy):
                 cost_ms += ahead * slot_interval_ms(
-                    upstream, requirements.processing_times
+                    upstream, requirements.processing_times, now_ms
                 )
                 selection = Selection(upstream, warmth, expected_ms)
                 candidates.add(selection, cost_ms + FULL_LOAD_COST_MS * load)
@@ -312,12 +316,16 @@
             return ahead if ahead <= upstream.max_waiting(now_ms) else None
         return None
 
+    def way_ms(self, upstream: Upstream) -> float:
+        """Return the expected time of a round trip, and of a connect."""
+        round_trip_ms = self.distances.round_trip_ms(upstream.spec)
+        return round_trip_ms if self.is_connected(upstream) else 2 * round_trip_ms
+
     def _distance_cost_ms(self, upstream: Upstream) -> float:
-        """Return the cost of the way to an upstream, and of a connect."""
-        cost_ms = self.distances.round_trip_ms(upstream.spec)
-        if not self.is_connected(upstream):
-            cost_ms *= 2
-        return cost_ms + BOUNDARY_COSTS_MS[self.distances.between(upstream.spec)]
+        return (
+            self.way_ms(upstream)
+            + BOUNDARY_COSTS_MS[self.distances.between(upstream.spec)]
+        )
 
 
 def _assume_connected(upstream: Upstream) -> bool:
--- /dev/null
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/slow_reports.py
@@ -0,0 +1,50 @@
+"""Tell other nodes which upstreams are slow.
+
+In a large fleet a node sends few requests to each upstream, and would learn
+of each slow one at the price of a late request. The latest observation of any
+node counts for all of them, also one that finds it fast again.
+"""
+
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from .const import MAX_SHARED_REPORTS
+from .upstream import Upstream
+
+
+class SlowReport(msgspec.Struct, frozen=True, array_like=True):
+    """Report how slow an upstream was when last observed.
+
+    `slow_ratio` is the mean ratio of its processing times to the expected
+    ones, and `age_ms` the age of the last observation when sent.
+    """
+
+    upstream: str
+    slow_ratio: float
+    age_ms: int
+
+
+def make_slow_reports(upstreams: Iterable[Upstream], now_ms: int) -> list[SlowReport]:
+    """Return reports of the upstreams lately found slow, the newest first."""
+    reports = [
+        SlowReport(
+            upstream.name,
+            round(upstream.slow_ratio, 1),
+            now_ms - upstream.slow_ratio_at_ms,
+        )
+        for upstream in upstreams
+        if upstream.is_slowness_shared(now_ms)
+    ]
+    reports.sort(key=lambda report: report.age_ms)
+    return reports[:MAX_SHARED_REPORTS]
+
+
+def merge_slow_reports(
+    reports: Iterable[SlowReport], upstreams: Mapping[str, Upstream], now_ms: int
+) -> None:
+    """Apply a peer's reports that are newer than what is known here."""
+    for report in reports:
+        upstream = upstreams.get(report.upstream)
+        if upstream is not None:
+            upstream.on_slow_report(report.slow_ratio, now_ms - report.age_ms)
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -17,6 +17,7 @@
     SHEDS_TO_BLOCK,
     SLOW_HALF_LIFE_MS,
     SLOW_RATIO_WEIGHT,
+    SLOWNESS_SHARE_MS,
     WARM_KEY_TTL_MS,
 )
 
@@ -44,7 +45,8 @@
     `reported_peer_load` is the number of requests of other nodes in its newest
     load report. `shed_waiting` is how many waited there when it last turned a
     request away for being full. `unreachable` is set from a failed connect
-    until the next answer.
+    until the next answer. `has_been_slow` is set while peers should know its
+    `slow_ratio`.
     """
 
     spec: UpstreamSpec
@@ -60,6 +62,7 @@
     blocked_until_ms: int = 0
     slow_ratio: float = 1.0
     slow_ratio_at_ms: int = 0
+    has_been_slow: bool = False
     warm_keys: OrderedDict[str, int] = field(default_factory=OrderedDict)
     shed_waiting: int = 0
     shed_at_ms: int | None = None
@@ -147,6 +150,20 @@
         bounded = min(ratio, MAX_SLOW_RATIO)
         self.slow_ratio = previous + SLOW_RATIO_WEIGHT * (bounded - previous)
         self.slow_ratio_at_ms = now_ms
+        self.has_been_slow = max(previous, self.slow_ratio) >= MIN_SLOW_RATIO
+
+    def on_slow_report(self, slow_ratio: float, at_ms: int) -> None:
+        """Apply the mean ratio that a peer observed, if it is newer."""
+        if at_ms <= self.slow_ratio_at_ms:
+            return
+        self.slow_ratio = min(slow_ratio, MAX_SLOW_RATIO)
+        self.slow_ratio_at_ms = at_ms
+        self.has_been_slow = True
+
+    def is_slowness_shared(self, now_ms: int) -> bool:
+        """Return whether to tell peers how slow it was lately."""
+        age_ms = now_ms - self.slow_ratio_at_ms
+        return self.has_been_slow and age_ms < SLOWNESS_SHARE_MS
 
     def decayed_slow_ratio(self, now_ms: int) -> float:
         """Return the mean ratio to the expected time, decaying towards 1."""
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from bilberry_balance.placement.slow_reports import SlowReport
 from bilberry_balance.quarantine import SuspectReport
 
 
@@ -22,7 +23,8 @@
     `in_flight` maps each upstream to the node's requests there, without the
     zeros; `suspects` lists the requests suspected of crashing upstreams.
     `revisions` are those of the latest change known of each of the store's
-    kinds, in the order of the node's feeds.
+    kinds, in the order of the node's feeds. `slow_upstreams` are those that
+    any node lately found slow.
     """
 
     node: NodeInfo
@@ -32,6 +34,7 @@
     in_flight: dict[str, int]
     suspects: list[SuspectReport] = []
     revisions: list[int] = []
+    slow_upstreams: list[SlowReport] = []
 
 
 class DomainSummary(msgspec.Struct, array_like=True, tag="domain"):
@@ -54,3 +57,4 @@
     suspects: list[SuspectReport] = []
     revisions: list[int] = []
     is_relayed: bool = False
+    slow_upstreams: list[SlowReport] = []
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
@@ -128,6 +128,7 @@
             dict(in_flight),
             own.suspects,
             revisions,
+            slow_upstreams=own.slow_upstreams,
         )
 
     def leads_domain(self, now_ms: int) -> bool:
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -6,6 +6,12 @@
 import gevent
 from gevent import Greenlet
 
+from bilberry_balance.placement.slow_reports import (
+    SlowReport,
+    make_slow_reports,
+    merge_slow_reports,
+)
+from bilberry_balance.quarantine import SuspectReport
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.ids import stable_hash
 from bilberry_core.outcome import Failure
@@ -133,6 +139,7 @@
     def make_heartbeat(self) -> Heartbeat:
         """Return a heartbeat with this node's current state."""
         self.heartbeat_number += 1
+        now_ms = self.state.clock.now_ms()
         config = self.state.routes.config
         return Heartbeat(
             self.node_info,
@@ -140,30 +147,41 @@
             self.is_ready() and not self.leaving,
             config.version if config else 0,
             self.state.in_flight(),
-            self.state.crash_detector.reports(self.state.clock.now_ms()),
+            self.state.crash_detector.reports(now_ms),
             [feed.event_revision for feed in self.feeds],
+            make_slow_reports(self.state.upstreams.by_name.values(), now_ms),
         )
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
-        """Merge a peer's load and its suspected requests."""
+        """Merge a peer's load and what it learned."""
         name = heartbeat.node.name
         now_ms = self.state.clock.now_ms()
         self.state.peer_loads.update(name, heartbeat.in_flight, now_ms)
-        self.state.crash_detector.merge(heartbeat.suspects, now_ms)
+        self.merge_reports(heartbeat.suspects, heartbeat.slow_upstreams, now_ms)
         self.merge_revisions(heartbeat.revisions, now_ms)
         self.update_node_count()
 
     def on_summary(self, summary: DomainSummary) -> None:
-        """Merge another failure domain's load and suspected requests."""
+        """Merge another failure domain's load and what its nodes learned."""
         now_ms = self.state.clock.now_ms()
         loads = self.state.peer_loads
         if self.peers.is_own_region_domain(summary.failure_domain):
             loads.update(summary.failure_domain, summary.in_flight, now_ms)
         else:
             loads.update_mean(summary.failure_domain, summary.in_flight, now_ms)
-        self.state.crash_detector.merge(summary.suspects, now_ms)
+        self.merge_reports(summary.suspects, summary.slow_upstreams, now_ms)
         self.merge_revisions(summary.revisions, now_ms)
 
+    def merge_reports(
+        self,
+        suspects: list[SuspectReport],
+        slow_upstreams: list[SlowReport],
+        now_ms: int,
+    ) -> None:
+        """Apply which requests crash upstreams and which ones are slow."""
+        self.state.crash_detector.merge(suspects, now_ms)
+        merge_slow_reports(slow_upstreams, self.state.upstreams.by_name, now_ms)
+
     def merge_revisions(self, revisions: list[int], now_ms: int) -> None:
         """Tell the feeds which changes peers know."""
         for feed, revision in zip(self.feeds, revisions, strict=False):
