Rest between reads of the upstreams while only renewals come

Cause: upstreams renew their entries every 1.5 s, so with 451 of them each watch returns at once: a node reads three times a second for nothing.

Change: a feed whose batch only renewed entries rests, 0.2 s more if it reads exactly, 0.9 s more if cheaply, and reads at once when heartbeats or summaries tell of a newer change. The revision that peers hear is now that of the latest change of anything but a renewal; before, a resting feed would have counted as behind. An entry that lapsed and returned after an outage, and a cold spell, are changes.

Ruled out: cheap lists at the start (what had left could be back), one exact reader for each region (summaries to other regions come each second only).

Worst case until a drained upstream is known: 1.2 s by a node's own reads, 2.05 s by an exact read after a lost change, of 2.5 s; a test adds the pauses up.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
@@ -33,11 +33,12 @@
         for record in snapshot.records:
             self._install_record(record)
 
-    def on_changes(self, changes: Changes) -> None:
+    def on_changes(self, changes: Changes) -> bool:
         """Install the configurations in a batch of changes."""
         for change in changes.changes:
             if not change.deleted:
                 self._install_record(change.record)
+        return True
 
     def on_outage(self) -> None:
         """Keep the installed configuration."""
@@ -73,7 +74,7 @@
         """Replace the names with those in the snapshot."""
         self._set(frozenset(record.name for record in snapshot.records))
 
-    def on_changes(self, changes: Changes) -> None:
+    def on_changes(self, changes: Changes) -> bool:
         """Add and remove the names in a batch of changes."""
         names = set(self.names)
         for change in changes.changes:
@@ -82,6 +83,7 @@
             else:
                 names.add(change.record.name)
         self._set(frozenset(names))
+        return True
 
     def on_outage(self) -> None:
         """Keep the known names."""
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -12,6 +12,9 @@
 LIST_TIMEOUT_MS = 1_500
 WRITE_TIMEOUT_MS = 1_500
 BATCH_PAUSE_MS = 300
+# Further pause after changes that only renew entries, unless peers know more.
+RENEWAL_PAUSE_MS = 200
+STALE_RENEWAL_PAUSE_MS = 900
 RETRY_BASE_MS = 100
 RETRY_MAX_MS = 800
 # Failures in a row from which the store counts as out, for all its kinds.
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -3,10 +3,12 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
+from enum import Enum, auto
 from typing import Protocol
 
 import gevent
 from gevent import Greenlet
+from gevent.event import Event
 
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
@@ -19,8 +21,10 @@
     CATCH_UP_AFTER_MS,
     CATCH_UP_WAIT_MS,
     FIRST_WATCH_WAIT_MS,
+    RENEWAL_PAUSE_MS,
     RETRY_BASE_MS,
     RETRY_MAX_MS,
+    STALE_RENEWAL_PAUSE_MS,
     STALE_WATCH_WAIT_MS,
     WATCH_WAIT_MS,
 )
@@ -35,6 +39,14 @@
 )
 
 
+class BatchEffect(Enum):
+    """Enumerate what a batch of changes did."""
+
+    NONE = auto()
+    RENEWED = auto()
+    CHANGED = auto()
+
+
 class FeedListener(Protocol):
     """Receive the snapshots and changes of a feed."""
 
@@ -42,8 +54,8 @@
         """Replace all known objects."""
         ...
 
-    def on_changes(self, changes: Changes) -> None:
-        """Apply a batch of changes."""
+    def on_changes(self, changes: Changes) -> bool:
+        """Apply a batch; return False if it only renewed what is known."""
         ...
 
     def on_outage(self) -> None:
@@ -56,7 +68,8 @@
 
     While `may_be_stale` returns True, watches are cheap ones that may miss
     the latest changes. Peers tell the revision of the latest change that
-    they know; a feed that stays behind it makes one exact read. Lists are
+    they know; a feed that stays behind it makes one exact read. After changes
+    that only renew entries it pauses until peers know more. Lists are
     always exact, so that nothing of the past returns with a start. While the
     store fails, the node's feeds share one probe of it.
     """
@@ -74,6 +87,7 @@
         "last_answer_ms",
         "listener",
         "may_be_stale",
+        "peers_know_more",
         "peers_revision",
         "revision",
         "source",
@@ -95,6 +109,7 @@
         self.revision = 0
         self.event_revision = 0
         self.peers_revision = 0
+        self.peers_know_more = Event()
         self.behind_since_ms: int | None = None
         self.catch_up_greenlet: Greenlet | None = None
         self.last_answer_ms: int | None = None
@@ -148,8 +163,16 @@
                 continue
             changes = watched.unwrap()
             self.record_answer()
-            if self.apply(changes, revision):
-                gevent.sleep(BATCH_PAUSE_MS / MS_PER_SECOND)
+            self.pause(self.apply(changes, revision), is_stale)
+
+    def pause(self, effect: BatchEffect, is_stale: bool) -> None:
+        """Wait after a batch of changes, longer if it changed nothing."""
+        if effect is BatchEffect.NONE:
+            return
+        gevent.sleep(BATCH_PAUSE_MS / MS_PER_SECOND)
+        if effect is BatchEffect.RENEWED:
+            pause_ms = STALE_RENEWAL_PAUSE_MS if is_stale else RENEWAL_PAUSE_MS
+            self.peers_know_more.wait(pause_ms / MS_PER_SECOND)
 
     def wait_for_store(self) -> bool:
         """Wait until a call may be made; return whether it is a probe."""
@@ -165,20 +188,20 @@
             return FIRST_WATCH_WAIT_MS
         return STALE_WATCH_WAIT_MS if is_stale else WATCH_WAIT_MS
 
-    def apply(self, changes: Changes, since: int) -> bool:
-        """Apply changes after `since`, unless newer ones already are.
-
-        Return whether there was anything to apply.
-        """
+    def apply(self, changes: Changes, since: int) -> BatchEffect:
+        """Apply changes after `since`, unless newer ones already are."""
         if since < self.revision:
-            return False
+            return BatchEffect.NONE
         self.revision = max(self.revision, changes.revision)
+        if self.peers_revision <= self.revision:
+            self.peers_know_more.clear()
         if not changes.changes:
-            return False
+            return BatchEffect.NONE
+        if not self.listener.on_changes(changes):
+            return BatchEffect.RENEWED
         revisions = [change.record.revision for change in changes.changes]
         self.event_revision = max(self.event_revision, *revisions)
-        self.listener.on_changes(changes)
-        return True
+        return BatchEffect.CHANGED
 
     def on_peers_revision(self, revision: int, now_ms: int) -> None:
         """Record the revision of the latest change that a peer knows."""
@@ -187,6 +210,7 @@
             self.behind_since_ms = None
         elif self.behind_since_ms is None:
             self.behind_since_ms = now_ms
+            self.peers_know_more.set()
 
     def catch_up_if_behind(self, now_ms: int) -> None:
         """Start an exact read if this feed stayed behind its peers."""
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -34,6 +34,8 @@
 class UpstreamListener:
     """Synchronize the directory with the entries in the store.
 
+    Upstreams renew their entries all the time; `has_news` is set by a change
+    of anything else.
     An entry that is missing right after a store outage may just have
     expired, so its upstream is kept for a while and can register again.
     """
@@ -42,6 +44,7 @@
         "clock",
         "decode",
         "directory",
+        "has_news",
         "has_snapshot",
         "kept_until_ms",
         "on_change",
@@ -65,6 +68,7 @@
         self.pool_changed = False
         self.pools: dict[str, PoolConfig] = {}
         self.has_snapshot = False
+        self.has_news = False
         self.outage_seen = False
         self.store_recovered_at_ms: int | None = None
         self.kept_until_ms: dict[str, int] = {}
@@ -88,13 +92,15 @@
             )
         self._report_change()
 
-    def on_changes(self, changes: Changes) -> None:
-        """Apply a batch of changes to the directory."""
+    def on_changes(self, changes: Changes) -> bool:
+        """Apply a batch; return False if it only renewed entries."""
         self._record_recovery()
+        self.has_news = False
         for change in changes.changes:
             if change.deleted or not self._put(change.record):
                 self._handle_missing(change.record.name)
         self._report_change()
+        return self.has_news
 
     def on_outage(self) -> None:
         """Record that the store cannot be read at present."""
@@ -127,13 +133,15 @@
             )
             return False
         entry = decoded.unwrap()
-        self.kept_until_ms.pop(record.name, None)
+        if self.kept_until_ms.pop(record.name, None) is not None:
+            self.has_news = True
         previous = self.directory.by_name.get(record.name)
         is_changed = (
             previous is None
             or previous.spec != entry.spec
             or previous.draining != entry.draining
         )
+        self.has_news |= is_changed
         # The first snapshot is logged as a whole.
         if is_changed and self.has_snapshot:
             _LOGGER.info(
@@ -157,6 +165,8 @@
         pool = self.pools.get(entry.spec.service)
         cold_per_s = pool.cold_requests_per_s if pool else 0.0
         now_ms = self.clock.now_ms()
+        if entry.cold_left_ms > 0 and not upstream.is_cold(now_ms):
+            self.has_news = True
         self.directory.mark_cold(upstream, entry.cold_left_ms, cold_per_s, now_ms)
         return True
 
@@ -168,6 +178,7 @@
             keep_until_ms = store_recovered_at_ms + REREGISTRATION_GRACE_MS
             if self.clock.now_ms() < keep_until_ms:
                 self.kept_until_ms[name] = keep_until_ms
+                self.has_news = True
                 _LOGGER.info(
                     "discovery: Entry of upstream %s is missing after the outage.", name
                 )
@@ -177,4 +188,5 @@
     def _remove(self, name: str, reason: str) -> None:
         if self.directory.remove(name) is not None:
             self.pool_changed = True
+            self.has_news = True
             _LOGGER.info("discovery: Removed upstream %s: %s.", name, reason)
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -208,7 +208,7 @@
             self._put(record)
         self._update_peers()
 
-    def on_changes(self, changes: Changes) -> None:
+    def on_changes(self, changes: Changes) -> bool:
         """Apply changes of the registered nodes."""
         for change in changes.changes:
             if change.deleted:
@@ -216,6 +216,7 @@
             else:
                 self._put(change.record)
         self._update_peers()
+        return True
 
     def on_outage(self) -> None:
         """Keep the known nodes during an outage of the store."""
--- a/tests/bilberry_fleet/discovery/test_feed.py
+++ b/tests/bilberry_fleet/discovery/test_feed.py
@@ -1,18 +1,26 @@
 """A feed follows the store, cheaply, and never goes back."""
 
 import gevent
+import pytest
 from gevent.event import AsyncResult
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bilberry_core.clock import ManualClock
 from bilberry_core.outcome import Failure, Success
+from bilberry_fleet.discovery import const, heartbeats
+from bilberry_fleet.discovery import feed as feed_module
 from bilberry_fleet.discovery.const import CATCH_UP_AFTER_MS, CATCH_UP_WAIT_MS
 from bilberry_fleet.discovery.feed import Feed
 from bilberry_fleet.discovery.source import Change, Changes, Record, Snapshot
 from bilberry_fleet.discovery.store_breaker import StoreBreaker
+from bilberry_router.entry.const import EXPIRY_INTERVAL_MS
 from bilberry_store.errors import StoreError, StoreErrorKind
 
+from ...bilberry_router.entry.common import eventually
+
+SHORTEST_DRAIN_MS = 2_500
+
 
 class ScriptedSource:
     """Let a test answer each call."""
@@ -42,12 +50,14 @@
 class RecordingListener:
     def __init__(self):
         self.applied = []
+        self.has_news = True
 
     def on_snapshot(self, snapshot):
         self.applied.append([record.revision for record in snapshot.records])
 
     def on_changes(self, changes):
         self.applied.append([change.record.revision for change in changes.changes])
+        return self.has_news
 
     def on_outage(self):
         self.applied.append("outage")
@@ -166,6 +176,57 @@
         assert rig.source.calls[4][1] == 20
 
 
+@pytest.fixture
+def long_pause(monkeypatch):
+    """Let feeds pause without end after renewals, and else not at all."""
+    monkeypatch.setattr(feed_module, "BATCH_PAUSE_MS", 0)
+    monkeypatch.setattr(feed_module, "STALE_RENEWAL_PAUSE_MS", 600_000)
+
+
+def settle():
+    for _ in range(5):
+        gevent.sleep(0)
+
+
+def test_a_feed_reads_at_once_after_a_change(long_pause):
+    with FeedRig() as rig:
+        rig.source.answer(1, changes(14))
+        settle()
+        assert rig.source.calls[-1][1] == 14
+        assert rig.feed.event_revision == 14
+
+
+def test_a_feed_rests_after_renewals_until_peers_know_of_a_change(long_pause):
+    with FeedRig() as rig:
+        rig.listener.has_news = False
+        rig.source.answer(1, changes(14))
+        rig.tell(14)
+        settle()
+        assert len(rig.source.calls) == 2
+        assert rig.feed.event_revision == 0
+        rig.tell(15)
+        settle()
+        assert rig.source.calls[-1][1] == 14
+
+
+def test_a_rest_ends_though_no_peer_tells_of_a_change(monkeypatch):
+    monkeypatch.setattr(feed_module, "BATCH_PAUSE_MS", 0)
+    monkeypatch.setattr(feed_module, "STALE_RENEWAL_PAUSE_MS", 1)
+    with FeedRig() as rig:
+        rig.listener.has_news = False
+        rig.source.answer(1, changes(14))
+        eventually(lambda: len(rig.source.calls) == 3)
+
+
+def test_the_pauses_leave_time_for_the_shortest_bound_on_draining():
+    """Followers read after their own pause, or once the exact reader told."""
+    told_ms = const.BATCH_PAUSE_MS + const.RENEWAL_PAUSE_MS
+    told_ms += const.MAX_HEARTBEAT_MS + heartbeats.LOOP_PAUSE_MS
+    exact_read_ms = told_ms + CATCH_UP_AFTER_MS + EXPIRY_INTERVAL_MS
+    own_read_ms = const.BATCH_PAUSE_MS + const.STALE_RENEWAL_PAUSE_MS
+    assert max(exact_read_ms, own_read_ms) < SHORTEST_DRAIN_MS
+
+
 class History:
     """The true changes of a kind; each revision is one change."""
 
@@ -201,6 +262,7 @@
                 self.state.pop(change.record.name, None)
             else:
                 self.state[change.record.name] = change.record.revision
+        return bool(changes.changes)
 
 
 @given(
