Keep the socket to an upstream once, for both request paths

Cause: entry/connections.py and forward/transport.py each had the connect, the check of an idle connection and the shutdown from the hub. Only the entry noticed connections that had gone silent.

Change: http/upstream_socket.py has them once; the pools keep their own rules of reuse. The product's own interface probes its connections now. How long sent data may stay unacknowledged stays with the entry: an upstream that reads a streamed body slowly would break it otherwise.

--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -1,68 +1,40 @@
 """Pool connections to upstreams and exchange requests on them."""
 
-import socket
 from collections import deque
 from dataclasses import dataclass
-from typing import Any
-
-from gevent import socket as gevent_socket
 
 from bilberry_balance.outcomes import FailurePoint
-from bilberry_core.address import split_address
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 
 from ..http.const import RECV_BYTES
 from ..http.response_parser import ResponseParser
+from ..http.upstream_socket import IdleState, UpstreamSocket
 from .const import (
     CONNECT_TIMEOUT_MS,
     DEFAULT_IDLE_TIMEOUT_MS,
     IDLE_MARGIN_MS,
     MAX_ANSWER_BYTES,
     MAX_BUFFERED_BYTES,
+    MAX_UNACKNOWLEDGED_MS,
     NON_IDEMPOTENT_IDLE_FRACTION,
     NOT_RUN_STATUSES,
     SMALL_ANSWER_BYTES,
-    TCP_USER_TIMEOUT_MS,
 )
 
 HEADER_KEEP_ALIVE = "keep-alive"
 KEEP_ALIVE_TIMEOUT_PARAMETER = "timeout"
-TCP_KEEPALIVE_INTERVAL_S = 1
-TCP_KEEPALIVE_PROBES = 2
 
 
-class PooledConnection:
-    """Represent one connection to an upstream."""
+class PooledConnection(UpstreamSocket):
+    """Represent a connection that may be idle for `idle_limit_ms`."""
 
-    __slots__ = ("idle_limit_ms", "idle_since_ms", "sock")
+    __slots__ = ("idle_limit_ms",)
 
-    def __init__(self, sock: Any) -> None:
-        self.sock = sock
-        self.idle_since_ms = 0
+    def __init__(self, address: str) -> None:
+        super().__init__(address)
         self.idle_limit_ms = DEFAULT_IDLE_TIMEOUT_MS
 
-    def is_idle(self) -> bool:
-        """Return whether it is open and no data has arrived."""
-        try:
-            self.sock._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
-
-    def shut_down(self) -> None:
-        """Shut the socket down, which wakes its reader; safe in the hub."""
-        try:
-            self.sock._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return
-
-    def close(self) -> None:
-        """Close the connection, which cancels a request on it."""
-        self.sock.close()
-
 
 @dataclass(slots=True)
 class Attempt:
@@ -170,7 +142,7 @@
         remaining_ms = attempt.deadline_ms - self.clock.now_ms()
         if remaining_ms <= 0:
             return ExchangeOutcome(FailurePoint.DEADLINE_IN_QUEUE)
-        connection.sock.settimeout(remaining_ms / MS_PER_SECOND)
+        connection.set_timeout(remaining_ms)
         attempt.sent = True
         try:
             connection.sock.sendall(attempt.data)
@@ -209,7 +181,7 @@
             remaining_ms = attempt.deadline_ms - self.clock.now_ms()
             if remaining_ms <= 0:
                 return ExchangeOutcome(FailurePoint.DEADLINE_AFTER_SEND, parser)
-            connection.sock.settimeout(remaining_ms / MS_PER_SECOND)
+            connection.set_timeout(remaining_ms)
             try:
                 data = connection.sock.recv(RECV_BYTES)
             except TimeoutError:
@@ -249,7 +221,8 @@
             limit_ms: float = connection.idle_limit_ms
             if not idempotent:
                 limit_ms *= NON_IDEMPOTENT_IDLE_FRACTION
-            if now_ms - connection.idle_since_ms < limit_ms and connection.is_idle():
+            is_recent = now_ms - connection.idle_since_ms < limit_ms
+            if is_recent and connection.idle_state() is IdleState.OPEN:
                 return connection
             connection.close()
         return None
@@ -264,16 +237,16 @@
     def _connect(
         self, address: str, attempt: Attempt
     ) -> PooledConnection | ExchangeOutcome:
-        sock = gevent_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection = PooledConnection(address)
         remaining_ms = attempt.deadline_ms - self.clock.now_ms()
-        sock.settimeout(max(1, min(remaining_ms, CONNECT_TIMEOUT_MS)) / MS_PER_SECOND)
         try:
-            sock.connect(split_address(address))
-            _set_socket_options(sock)
+            connection.connect(
+                min(remaining_ms, CONNECT_TIMEOUT_MS), MAX_UNACKNOWLEDGED_MS
+            )
         except OSError as error:
-            sock.close()
+            connection.close()
             return ExchangeOutcome(FailurePoint.DURING_CONNECT, reason=str(error))
-        return PooledConnection(sock)
+        return connection
 
 
 class ReceivedBytes:
@@ -315,15 +288,6 @@
     return parser.is_reusable and parser.status not in NOT_RUN_STATUSES
 
 
-def _set_socket_options(sock: Any) -> None:
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
-
-
 def _idle_limit_ms(header: str | None) -> int:
     """Return how long a connection may be idle and still be reused."""
     for part in (header or "").split(","):
--- a/packages/bilberry_router/src/bilberry_router/forward/transport.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/transport.py
@@ -1,19 +1,13 @@
 """Connections to upstreams and their pools."""
 
 import logging
-import socket
 from collections import deque
 from dataclasses import dataclass
-from enum import StrEnum, auto
-from typing import Any
 
-from gevent import socket as gevent_socket
-
-from bilberry_core.address import split_address
 from bilberry_core.clock import Clock
-from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.outcome import Failure, Result, Success
 
+from ..http.upstream_socket import IdleState, UpstreamSocket
 from .const import (
     DEFAULT_CONNECT_TIMEOUT_MS,
     DEFAULT_MAX_IDLE_MS,
@@ -32,53 +26,20 @@
     reason: str
 
 
-class IdleState(StrEnum):
-    """State of an idle connection: open, closed or unread data."""
-
-    OPEN = "silent"
-    CLOSED = auto()
-    UNREAD_DATA = "noisy"
-
-
-class UpstreamConnection:
+class UpstreamConnection(UpstreamSocket):
     """A connection to an upstream.
 
     `is_reused` is set once it has carried a request, `expects_request_id`
     if the upstream is also known to send the request id in its responses.
     """
 
-    __slots__ = ("expects_request_id", "idle_since_ms", "is_reused", "sock")
+    __slots__ = ("expects_request_id", "is_reused")
 
-    def __init__(self, sock: Any) -> None:
-        self.sock = sock
-        self.idle_since_ms = 0
+    def __init__(self, address: str) -> None:
+        super().__init__(address)
         self.is_reused = False
         self.expects_request_id = False
 
-    def idle_state(self) -> IdleState:
-        """Return whether the upstream has closed or sent data."""
-        try:
-            data = self.sock._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return IdleState.OPEN
-        except OSError:
-            return IdleState.CLOSED
-        return IdleState.UNREAD_DATA if data else IdleState.CLOSED
-
-    def set_timeout(self, timeout_ms: int) -> None:
-        """Set the timeout of further reads and writes."""
-        self.sock.settimeout(max(timeout_ms, 1) / MS_PER_SECOND)
-
-    def shut_down(self) -> None:
-        """Shut the socket down, which wakes the greenlets waiting on it.
-
-        May be called from the gevent hub, as it does not block.
-        """
-        try:
-            self.sock._sock.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            return
-
 
 class EndpointConnections:
     """Connection pool for one upstream address.
@@ -133,7 +94,7 @@
         if len(self.in_use) >= self.limit:
             return Failure(ConnectError("connection limit reached"))
         while len(self.in_use) + len(self.idle) >= self.limit:
-            self.idle.popleft().sock.close()
+            self.idle.popleft().close()
         return self._connect(timeout_ms)
 
     def release(self, connection: UpstreamConnection) -> None:
@@ -142,7 +103,7 @@
         now_ms = self.clock.now_ms()
         is_full = len(self.idle) + len(self.in_use) >= self.limit
         if self.closed or is_full or now_ms < self.no_reuse_until_ms:
-            connection.sock.close()
+            connection.close()
             return
         connection.idle_since_ms = now_ms
         self.idle.append(connection)
@@ -150,27 +111,27 @@
     def discard(self, connection: UpstreamConnection) -> None:
         """Close a connection, which also cancels its request."""
         self.in_use.discard(connection)
-        connection.sock.close()
+        connection.close()
 
     def stop_reuse(self) -> None:
         """Reuse no connection for a while, after unsolicited bytes."""
         _LOGGER.warning("forward: Unsolicited bytes from %s.", self.address)
         self.no_reuse_until_ms = self.clock.now_ms() + DEFAULT_NO_REUSE_MS
         while self.idle:
-            self.idle.popleft().sock.close()
+            self.idle.popleft().close()
 
     def close_idle(self, now_ms: int) -> None:
         """Close connections that were idle for too long."""
         while self.idle:
             if now_ms - self.idle[0].idle_since_ms < DEFAULT_MAX_IDLE_MS:
                 return
-            self.idle.popleft().sock.close()
+            self.idle.popleft().close()
 
     def close(self) -> None:
         """Close the idle connections now, the others on release."""
         self.closed = True
         while self.idle:
-            self.idle.popleft().sock.close()
+            self.idle.popleft().close()
 
     def _reuse(self, recent_only: bool) -> UpstreamConnection | None:
         while (connection := self._find_reusable(recent_only)) is not None:
@@ -178,7 +139,7 @@
             state = connection.idle_state()
             if state is IdleState.OPEN:
                 return connection
-            connection.sock.close()
+            connection.close()
             if state is IdleState.UNREAD_DATA:
                 self.stop_reuse()
         return None
@@ -195,15 +156,10 @@
         return None
 
     def _connect(self, timeout_ms: int) -> Result[UpstreamConnection, ConnectError]:
-        host, port = split_address(self.address)
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        sock = gevent_socket.socket(family, socket.SOCK_STREAM)
-        connection = UpstreamConnection(sock)
+        connection = UpstreamConnection(self.address)
         self.in_use.add(connection)
         try:
-            connection.set_timeout(min(timeout_ms, DEFAULT_CONNECT_TIMEOUT_MS))
-            sock.connect((host, port))
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection.connect(min(timeout_ms, DEFAULT_CONNECT_TIMEOUT_MS))
         except OSError as error:
             self.discard(connection)
             return Failure(ConnectError(str(error)))
--- a/tests/bilberry_router/entry/test_forwarder.py
+++ b/tests/bilberry_router/entry/test_forwarder.py
@@ -4,6 +4,7 @@
 import pytest
 
 from bilberry_balance.placement.processing_times import Warmth
+from bilberry_router.http.upstream_socket import IdleState
 
 from .common import NAMES, Rig, config, eventually, route
 
@@ -182,7 +183,7 @@
         rig.upstreams[0].faults.script = [HEAD + b"\r\nfine"]
         assert rig.ask("/read/x").body == b"fine"
         connections = rig.connections.idle[rig.upstreams[0].address]
-        eventually(lambda: not connections[0].is_idle())
+        eventually(lambda: connections[0].idle_state() is not IdleState.OPEN)
         assert rig.ask("/book/x", method="POST", request_id="r2").status == 200
         assert len(rig.ran) == 2
 
