Log and count the upstreams that a node takes for slow

A node's belief about an upstream may now come from a peer; one line each when it becomes slow by an own observation and when peers tell, and a gauge by service. Test: two nodes and one of another domain, by heartbeat and by summary.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/slow_reports.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/slow_reports.py
@@ -42,9 +42,18 @@
 
 def merge_slow_reports(
     reports: Iterable[SlowReport], upstreams: Mapping[str, Upstream], now_ms: int
-) -> None:
-    """Apply a peer's reports that are newer than what is known here."""
+) -> list[str]:
+    """Apply a peer's reports that are newer than what is known here.
+
+    Return the upstreams that count as slow now, and did not before.
+    """
+    newly_slow = []
     for report in reports:
         upstream = upstreams.get(report.upstream)
-        if upstream is not None:
-            upstream.on_slow_report(report.slow_ratio, now_ms - report.age_ms)
+        if upstream is None:
+            continue
+        was_slow = upstream.is_slow(now_ms)
+        upstream.on_slow_report(report.slow_ratio, now_ms - report.age_ms)
+        if upstream.is_slow(now_ms) and not was_slow:
+            newly_slow.append(upstream.name)
+    return newly_slow
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -171,10 +171,13 @@
         excess = (self.slow_ratio - 1.0) * 0.5 ** (age_ms / SLOW_HALF_LIFE_MS)
         return 1.0 + excess
 
+    def is_slow(self, now_ms: int) -> bool:
+        """Return whether it is clearly slower than expected."""
+        return self.decayed_slow_ratio(now_ms) >= MIN_SLOW_RATIO
+
     def slow_factor(self, now_ms: int) -> float:
-        """Return the factor on expected times, 1 unless it is clearly slow."""
-        ratio = self.decayed_slow_ratio(now_ms)
-        return ratio if ratio >= MIN_SLOW_RATIO else 1.0
+        """Return the factor on expected times, 1 unless it is slow."""
+        return self.decayed_slow_ratio(now_ms) if self.is_slow(now_ms) else 1.0
 
     def is_warm(self, key: str, now_ms: int) -> bool:
         """Return whether this node recently sent it a request for `key`."""
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -72,7 +72,7 @@
             upstream.on_failure(now_ms)
         elif point is FailurePoint.DEADLINE_AFTER_SEND:
             ratio = (now_ms - sent_at_ms) / max(selection.expected_ms, 1.0)
-            upstream.on_processing_time(ratio, now_ms)
+            self._record_ratio(upstream, ratio, now_ms)
 
     def _record_unreachable(
         self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
@@ -129,7 +129,18 @@
         ratio = processing_times.observe(
             selection.warmth, max(0.0, took_ms - way_ms), is_local
         )
-        selection.upstream.on_processing_time(ratio, now_ms)
+        self._record_ratio(selection.upstream, ratio, now_ms)
+
+    def _record_ratio(self, upstream: Upstream, ratio: float, now_ms: int) -> None:
+        """Record a processing time, as a ratio to the expected time."""
+        was_slow = upstream.is_slow(now_ms)
+        upstream.on_processing_time(ratio, now_ms)
+        if upstream.is_slow(now_ms) and not was_slow:
+            _LOGGER.info(
+                "entry: Upstream %s is slow: %.1f times the expected time.",
+                upstream.name,
+                ratio,
+            )
 
     def _record_load(
         self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -180,7 +180,10 @@
     ) -> None:
         """Apply which requests crash upstreams and which ones are slow."""
         self.state.crash_detector.merge(suspects, now_ms)
-        merge_slow_reports(slow_upstreams, self.state.upstreams.by_name, now_ms)
+        upstreams = self.state.upstreams.by_name
+        newly_slow = merge_slow_reports(slow_upstreams, upstreams, now_ms)
+        if newly_slow:
+            _LOGGER.info("fleet: Peers found slow upstreams: %s.", newly_slow)
 
     def merge_revisions(self, revisions: list[int], now_ms: int) -> None:
         """Tell the feeds which changes peers know."""
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -151,6 +151,12 @@
             state.service_load(service, now_ms),
             service=service,
         )
+        metrics.set_gauge(
+            "bilberry_entry_slow_upstreams",
+            "Upstreams of the service that this node or a peer found slow.",
+            state.count_slow_upstreams(service, now_ms),
+            service=service,
+        )
         metrics.set_gauge(
             "bilberry_entry_queued",
             "Requests that wait here for room at the service.",
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -156,6 +156,11 @@
         pool = self.upstreams.pools.get(service, {})
         return sum(upstream.spec.slots for upstream in pool.values())
 
+    def count_slow_upstreams(self, service: str, now_ms: int) -> int:
+        """Return how many of a service's upstreams count as slow."""
+        pool = self.upstreams.pools.get(service, {})
+        return sum(upstream.is_slow(now_ms) for upstream in pool.values())
+
     def set_shared_limits(self, shared_limits: SharedLimits) -> None:
         """Apply changed limits."""
         self.shared_limits = shared_limits
--- a/tests/bilberry_platform/test_metrics.py
+++ b/tests/bilberry_platform/test_metrics.py
@@ -108,3 +108,21 @@
     with Deployment() as deployment:
         node = deployment.node()
         assert fetch(node.listeners[-1], "/readyz").status == 404
+
+
+def test_nodes_tell_each_other_and_other_domains_of_a_slow_upstream():
+    with Deployment() as deployment:
+        node = deployment.node()
+        near = deployment.node("n2", "mtl-a")
+        far = deployment.node("n3", "qc-a")
+        slow = "i-0"
+        now_ms = deployment.clock.now_ms()
+        node.state.upstreams.by_name[slow].on_processing_time(9.0, now_ms)
+        heartbeat = node.membership.make_heartbeat()
+        near.membership.on_heartbeat(heartbeat)
+        summary = node.membership.peers.summarize(heartbeat, False, now_ms)
+        far.membership.on_summary(summary)
+        for other in (near, far):
+            lines = read_metrics(other)
+            name = 'bilberry_entry_slow_upstreams{service="s"}'
+            assert metric_value(lines, name) == 1
