Move the log of requests out of the entry's forwarder

entry/forwarder.py had grown to 352 lines and decided, sent, counted and logged. What is logged of a request and its attempts is in entry/request_log.py now, and the placement request of an active request stands with it.

--- a/packages/bilberry_router/src/bilberry_router/entry/active_request.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/active_request.py
@@ -3,11 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from bilberry_balance.placement.candidates import UpstreamRequirements
 from bilberry_balance.placement.crashes import fingerprint_of
 from bilberry_resources.routing import RouteRule
 
 from .connections import ExchangeOutcome
 from .messages import EntryAnswer, EntryRequest
+from .placer import PlacementRequest
+from .state import EntryState
 
 
 @dataclass(slots=True)
@@ -64,3 +67,24 @@
         active.request.on_caller_gone = on_caller_gone
 
     return set_callback
+
+
+def placement_request(active: ActiveRequest, state: EntryState) -> PlacementRequest:
+    """Return the placement request for the next attempt."""
+    rule = active.rule
+    requirements = UpstreamRequirements(
+        active.service,
+        active.key,
+        state.processing_times(rule, active.service),
+        rule.home_regions,
+        active.tried_upstreams,
+    )
+    target_end_ms = active.request.arrived_ms + rule.target_latency_ms
+    return PlacementRequest(
+        requirements,
+        rule.priority,
+        rule.target_latency_ms,
+        state.clock.now_ms(),
+        target_end_ms,
+        active.deadline_ms,
+    )
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -4,27 +4,32 @@
 
 from bilberry_balance.outcomes import FailureDecision, FailurePoint, decide_on_failure
 from bilberry_balance.placement.admission import Refusal, spread_retry_after_ms
-from bilberry_balance.placement.candidates import Selection, UpstreamRequirements
+from bilberry_balance.placement.candidates import Selection
 from bilberry_balance.placement.processing_times import Warmth
 from bilberry_resources.routing import RouteRule
 from bilberry_steering.route_table import RouteEntry
 
 from ..http.head import RequestHead
 from .accounts import OutcomeRecorder
-from .active_request import ActiveRequest, AttemptRecord, disconnect_hook
+from .active_request import (
+    ActiveRequest,
+    AttemptRecord,
+    disconnect_hook,
+    placement_request,
+)
 from .answer_checks import answer_failure_point, is_server_error
 from .answers import draining_answer, failure_answer, forwarded_answer, refusal_answer
 from .connections import Attempt, ConnectionPool, ExchangeOutcome
-from .const import MAX_FORWARDED_TIMEOUT_MS, PROMPT_ANSWERS_PER_SAMPLE
+from .const import MAX_FORWARDED_TIMEOUT_MS
 from .counts import (
     END_ANSWERED,
     END_UPSTREAM_FAILED,
     NO_SERVICE,
 )
-from .events import UPSTREAM_ANSWER_CAUSE, AttemptFailed, RequestEnded, log_event
 from .heads import encode_request
 from .messages import EntryAnswer, EntryRequest, HeaderNames, local_answer
-from .placer import PlacementRequest, Placer
+from .placer import Placer
+from .request_log import RequestLog
 from .state import EntryState
 
 HEADER_HOST = "host"
@@ -42,7 +47,7 @@
         "is_refusing",
         "outcome_recorder",
         "placer",
-        "prompt_answer_count",
+        "request_log",
         "state",
     )
 
@@ -58,8 +63,8 @@
         self.connections = connections
         self.header_names = header_names
         self.outcome_recorder = OutcomeRecorder(state, header_names)
+        self.request_log = RequestLog(state, placer)
         self.is_refusing = False
-        self.prompt_answer_count = 0
 
     def may_overlap(self, head: RequestHead) -> bool:
         """Return whether it may run before earlier requests have ended."""
@@ -83,22 +88,9 @@
         active = self.start_request(request, entry)
         answer = self.refuse_quarantined(active) or self.forward(active)
         took_ms = self.state.clock.now_ms() - request.arrived_ms
-        if self.should_log(active, answer, took_ms):
-            self.log_request_end(active, answer, took_ms)
+        self.request_log.record_end(active, answer, took_ms)
         return self.count_answer(request, answer, active.service)
 
-    def should_log(
-        self, active: ActiveRequest, answer: EntryAnswer, took_ms: int
-    ) -> bool:
-        """Return whether to log it: it failed, was late or is sampled."""
-        if (
-            answer.status >= HTTPStatus.BAD_REQUEST
-            or took_ms > active.rule.target_latency_ms
-        ):
-            return True
-        self.prompt_answer_count += 1
-        return self.prompt_answer_count % PROMPT_ANSWERS_PER_SAMPLE == 0
-
     def count_answer(
         self, request: EntryRequest, answer: EntryAnswer, service: str = NO_SERVICE
     ) -> EntryAnswer:
@@ -123,52 +115,6 @@
         self.state.retry_budget(active.service).on_request(request.arrived_ms)
         return active
 
-    def log_request_end(
-        self, active: ActiveRequest, answer: EntryAnswer, took_ms: int
-    ) -> None:
-        """Log how a request ended and the state that led to it."""
-        state = self.state
-        now_ms = state.clock.now_ms()
-        config = state.routes.config
-        refused = answer.status == HTTPStatus.SERVICE_UNAVAILABLE
-        event = RequestEnded(
-            status=answer.status,
-            cause=answer.detail or UPSTREAM_ANSWER_CAUSE,
-            took_ms=took_ms,
-            limit_ms=active.deadline_ms - active.request.arrived_ms,
-            first_sent_ms=active.first_sent_ms,
-            route=active.rule.name,
-            config_version=config.version if config else 0,
-            service=active.service,
-            key=active.key,
-            attempts=active.attempts,
-            upstreams=sorted(active.tried_upstreams),
-            load=state.service_load(active.service, now_ms),
-            slots=state.service_slots(active.service),
-            room=self.placer.availability(self.placement_request(active))
-            if refused
-            else None,
-        )
-        log_event(active.request_id, event)
-
-    def log_attempt_failure(
-        self, active: ActiveRequest, selection: Selection, record: AttemptRecord
-    ) -> None:
-        """Log an attempt without an answer that can be forwarded."""
-        outcome = record.outcome
-        event = AttemptFailed(
-            upstream=selection.upstream.name,
-            point=str(outcome.point or END_UPSTREAM_FAILED),
-            reason=outcome.reason,
-            took_ms=self.state.clock.now_ms() - record.sent_at_ms,
-            expected_ms=round(selection.expected_ms),
-            warmth=selection.warmth.name.lower(),
-            load=record.load,
-            report_age_ms=record.report_age_ms,
-            retries=record.will_retry,
-        )
-        log_event(active.request_id, event)
-
     def timeout_ms(self, head: RequestHead, rule: RouteRule) -> int:
         """Return the request's own timeout, limited by that of its route."""
         text = head.first(self.header_names.timeout.lower()) or ""
@@ -192,7 +138,7 @@
         """Send the request to upstreams until there is a final answer."""
         while True:
             placed = self.placer.place(
-                self.placement_request(active), disconnect_hook(active)
+                placement_request(active, self.state), disconnect_hook(active)
             )
             if active.request.caller_gone:
                 if isinstance(placed, Selection):
@@ -207,7 +153,7 @@
                 if not is_server_error(outcome):
                     return answer
                 record.will_retry = self.may_retry_error(active)
-                self.log_attempt_failure(active, placed, record)
+                self.request_log.record_failed_attempt(active, placed, record)
                 if not record.will_retry:
                     return answer
                 active.upstream_error = answer
@@ -215,7 +161,7 @@
                 continue
             decision = self.decide(active, outcome.point)
             record.will_retry = decision.retry
-            self.log_attempt_failure(active, placed, record)
+            self.request_log.record_failed_attempt(active, placed, record)
             active.may_have_run = decision.may_have_run
             if not decision.retry:
                 return active.upstream_error or failure_answer(
@@ -327,26 +273,6 @@
         than those that are queued.
         """
         expected_ms = self.placer.expected_wait_ms(
-            self.placement_request(active), self.state.clock.now_ms()
+            placement_request(active, self.state), self.state.clock.now_ms()
         )
         return spread_retry_after_ms(expected_ms, active.request_id)
-
-    def placement_request(self, active: ActiveRequest) -> PlacementRequest:
-        """Return the placement request for the next attempt."""
-        rule = active.rule
-        requirements = UpstreamRequirements(
-            active.service,
-            active.key,
-            self.state.processing_times(rule, active.service),
-            rule.home_regions,
-            active.tried_upstreams,
-        )
-        target_end_ms = active.request.arrived_ms + rule.target_latency_ms
-        return PlacementRequest(
-            requirements,
-            rule.priority,
-            rule.target_latency_ms,
-            self.state.clock.now_ms(),
-            target_end_ms,
-            active.deadline_ms,
-        )
