Let a node that is slow itself blame no upstreams

Cause: found by reading. A node whose machine or network turns slow measures long times everywhere, and would have told all others that its upstreams are slow. With 12 nodes that is a good part of all upstreams.

Change: a node that finds more than half of the upstreams that it measured in the last 2 s slow tells only what it heard from others.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -45,6 +45,7 @@
 MAX_SLOW_RATIO = 20.0
 # Longer than the time between two summaries to other regions.
 SLOWNESS_SHARE_MS = 2_000
+MAX_SLOW_FRACTION = 0.5
 
 FAILURES_TO_BLOCK = 3
 FIRST_BLOCK_MS = 200
--- a/packages/bilberry_balance/src/bilberry_balance/placement/slow_reports.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/slow_reports.py
@@ -3,13 +3,16 @@
 In a large fleet a node sends few requests to each upstream, and would learn
 of each slow one at the price of a late request. The latest observation of any
 node counts for all of them, also one that finds it fast again.
+
+A node that finds most upstreams slow is slow itself, or its network is: it
+only passes on what it heard.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 import msgspec
 
-from .const import MAX_SHARED_REPORTS
+from .const import MAX_SHARED_REPORTS, MAX_SLOW_FRACTION
 from .upstream import Upstream
 
 
@@ -25,8 +28,11 @@
     age_ms: int
 
 
-def make_slow_reports(upstreams: Iterable[Upstream], now_ms: int) -> list[SlowReport]:
+def make_slow_reports(upstreams: Collection[Upstream], now_ms: int) -> list[SlowReport]:
     """Return reports of the upstreams lately found slow, the newest first."""
+    observed = [upstream for upstream in upstreams if upstream.is_observed(now_ms)]
+    slow_count = sum(upstream.is_slow(now_ms) for upstream in observed)
+    is_reliable = slow_count <= MAX_SLOW_FRACTION * len(observed) or slow_count == 1
     reports = [
         SlowReport(
             upstream.name,
@@ -35,6 +41,7 @@
         )
         for upstream in upstreams
         if upstream.is_slowness_shared(now_ms)
+        and (is_reliable or upstream.observed_at_ms != upstream.slow_ratio_at_ms)
     ]
     reports.sort(key=lambda report: report.age_ms)
     return reports[:MAX_SHARED_REPORTS]
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -46,7 +46,7 @@
     load report. `shed_waiting` is how many waited there when it last turned a
     request away for being full. `unreachable` is set from a failed connect
     until the next answer. `has_been_slow` is set while peers should know its
-    `slow_ratio`.
+    `slow_ratio`, and `observed_at_ms` is when this node last measured it.
     """
 
     spec: UpstreamSpec
@@ -63,6 +63,7 @@
     slow_ratio: float = 1.0
     slow_ratio_at_ms: int = 0
     has_been_slow: bool = False
+    observed_at_ms: int | None = None
     warm_keys: OrderedDict[str, int] = field(default_factory=OrderedDict)
     shed_waiting: int = 0
     shed_at_ms: int | None = None
@@ -150,6 +151,7 @@
         bounded = min(ratio, MAX_SLOW_RATIO)
         self.slow_ratio = previous + SLOW_RATIO_WEIGHT * (bounded - previous)
         self.slow_ratio_at_ms = now_ms
+        self.observed_at_ms = now_ms
         self.has_been_slow = max(previous, self.slow_ratio) >= MIN_SLOW_RATIO
 
     def on_slow_report(self, slow_ratio: float, at_ms: int) -> None:
@@ -160,6 +162,11 @@
         self.slow_ratio_at_ms = at_ms
         self.has_been_slow = True
 
+    def is_observed(self, now_ms: int) -> bool:
+        """Return whether this node lately measured a processing time."""
+        at_ms = self.observed_at_ms
+        return at_ms is not None and now_ms - at_ms < SLOWNESS_SHARE_MS
+
     def is_slowness_shared(self, now_ms: int) -> bool:
         """Return whether to tell peers how slow it was lately."""
         age_ms = now_ms - self.slow_ratio_at_ms
