--- a/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
@@ -316,16 +316,12 @@
             return ahead if ahead <= upstream.max_waiting(now_ms) else None
         return None
 
-    def way_ms(self, upstream: Upstream) -> float:
-        """Return the expected time of a round trip, and of a connect."""
-        round_trip_ms = self.distances.round_trip_ms(upstream.spec)
-        return round_trip_ms if self.is_connected(upstream) else 2 * round_trip_ms
-
     def _distance_cost_ms(self, upstream: Upstream) -> float:
-        return (
-            self.way_ms(upstream)
-            + BOUNDARY_COSTS_MS[self.distances.between(upstream.spec)]
-        )
+        """Return the cost of the way to an upstream, and of a connect."""
+        cost_ms = self.distances.round_trip_ms(upstream.spec)
+        if not self.is_connected(upstream):
+            cost_ms *= 2
+        return cost_ms + BOUNDARY_COSTS_MS[self.distances.between(upstream.spec)]
 
 
 def _assume_connected(upstream: Upstream) -> bool:
--- a/packages/bilberry_balance/src/bilberry_balance/placement/slow_reports.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/slow_reports.py
@@ -32,7 +32,8 @@
     """Return reports of the upstreams lately found slow, the newest first."""
     observed = [upstream for upstream in upstreams if upstream.is_observed(now_ms)]
     slow_count = sum(upstream.is_slow(now_ms) for upstream in observed)
-    is_reliable = slow_count <= MAX_SLOW_FRACTION * len(observed) or slow_count == 1
+    # A single one may be all that it observed.
+    is_reliable = slow_count <= max(1, MAX_SLOW_FRACTION * len(observed))
     reports = [
         SlowReport(
             upstream.name,
