--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -1,28 +1,21 @@
 """Play a fleet's requests through the real placement, on a manual clock."""
 
-import heapq
 import random
-from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 from bilberry_balance.placement.admission import Refusal
 from bilberry_balance.placement.candidates import Selection, UpstreamRequirements
 from bilberry_balance.placement.distances import Distance, Location
 from bilberry_balance.placement.processing_times import ProcessingTimes
 from bilberry_balance.placement.queue import QueueEntry
-from bilberry_balance.placement.slow_reports import (
-    SlowReport,
-    make_slow_reports,
-    merge_slow_reports,
-)
 from bilberry_balance.placement.upstream import UpstreamSpec
 from bilberry_core.clock import ManualClock
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_router.entry.const import QUEUE_POLL_MS
 from bilberry_router.entry.placer import PlacementRequest
 
+from .placement_events import EventLoop
 from .placement_model import (
     Call,
     DeploymentModel,
@@ -32,11 +25,9 @@
     arrival_gap_ms,
 )
 from .placement_node import SimulatedNode, make_node
+from .placement_peers import PeerMessages
 
 CLIENT_MS = 2
-HEARTBEAT_MS = 300
-REGION_SUMMARY_MS = 250
-DISTANT_SUMMARY_MS = 1_000
 QUEUED_PER_SLOT = 3
 OBJECT_SKEW = 0.2
 
@@ -78,17 +69,18 @@
     model: DeploymentModel
     seed: int
     rng: random.Random = field(init=False)
-    clock: ManualClock = field(default_factory=ManualClock)
-    events: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = field(
-        default_factory=list
-    )
-    event_count: int = 0
+    loop: EventLoop = field(default_factory=EventLoop)
     upstreams: dict[str, UpstreamModel] = field(default_factory=dict)
     specs: dict[str, UpstreamSpec] = field(default_factory=dict)
     nodes: dict[str, list[SimulatedNode]] = field(default_factory=dict)
     calls: list[Call] = field(default_factory=list)
     connects: int = 0
 
+    @property
+    def clock(self) -> ManualClock:
+        """Return the clock that all parts use."""
+        return self.loop.clock
+
     def __post_init__(self) -> None:
         """Create the upstreams and the nodes."""
         self.rng = random.Random(self.seed)
@@ -132,28 +124,15 @@
         is_slow = int((index + 1) * spell.share) > int(index * spell.share)
         return spell if is_slow else None
 
-    def at(self, at_ms: int, function: Callable[..., None], *args: Any) -> None:
-        """Schedule a call."""
-        self.event_count += 1
-        heapq.heappush(self.events, (at_ms, self.event_count, function, args))
-
-    def after(self, delay_ms: int, function: Callable[..., None], *args: Any) -> None:
-        """Schedule a call after a delay."""
-        self.at(self.clock.now_ms() + delay_ms, function, *args)
-
     def run(self, duration_ms: int) -> None:
-        """Play requests for a duration, and let the last ones end."""
-        for domain in self.nodes:
-            self.at(0, self.arrive, domain, duration_ms)
-            self.at(0, self.send_summaries, domain, REGION_SUMMARY_MS, True)
-            self.at(0, self.send_summaries, domain, DISTANT_SUMMARY_MS, False)
-            for node in self.nodes[domain]:
-                self.at(self.rng.randrange(HEARTBEAT_MS), self.send_heartbeat, node)
-                self.at(self.rng.randrange(QUEUE_POLL_MS), self.poll_queues, node)
-        while self.events and self.events[0][0] <= duration_ms:
-            at_ms, _, function, args = heapq.heappop(self.events)
-            self.clock.advance(at_ms - self.clock.now_ms())
-            function(*args)
+        """Play requests for a duration; the last ones may not have ended."""
+        PeerMessages(self.loop, self.model, self.nodes).start(self.rng)
+        for domain, nodes in self.nodes.items():
+            self.loop.at(0, self.arrive, domain, duration_ms)
+            for node in nodes:
+                first_ms = self.rng.randrange(QUEUE_POLL_MS)
+                self.loop.at(first_ms, self.poll_queues, node)
+        self.loop.run(duration_ms)
 
     def delay_ms(self, here: Location, there: UpstreamSpec) -> int:
         """Return the one-way delay between a node and an upstream."""
@@ -171,14 +150,14 @@
         region = domain.rpartition("-")[0]
         per_s = self.model.per_s / len(self.nodes)
         per_s *= self.model.load_factor(region, now_ms)
-        self.after(arrival_gap_ms(self.rng, per_s), self.arrive, domain, until_ms)
+        self.loop.after(arrival_gap_ms(self.rng, per_s), self.arrive, domain, until_ms)
         shares = [service.share for service in self.model.services]
         service = self.rng.choices(self.model.services, shares)[0]
         weights = [(n + 1) ** -OBJECT_SKEW for n in range(service.objects)]
         number = self.rng.choices(range(service.objects), weights)[0]
         call = Call(service, f"{service.name}{number}", region, domain, now_ms)
         self.calls.append(call)
-        self.after(CLIENT_MS, self.submit, call)
+        self.loop.after(CLIENT_MS, self.submit, call)
 
     def submit(self, call: Call) -> None:
         """Give a request to a node of the caller's domain."""
@@ -206,11 +185,11 @@
         elif grant.ready():
             self.end_wait(node, call, begun, now_ms)
         else:
-            grant.on_set = lambda: self.after(
+            grant.on_set = lambda: self.loop.after(
                 0, self.end_wait, node, call, begun, now_ms
             )
             end_ms = max(now_ms, begun.give_up_at_ms) + 1
-            self.at(end_ms, self.give_up, node, call, begun, now_ms)
+            self.loop.at(end_ms, self.give_up, node, call, begun, now_ms)
 
     def processing_times(
         self, node: SimulatedNode, service: ServiceModel
@@ -251,7 +230,7 @@
         left_ms = call.deadline_ms() - self.clock.now_ms()
         if call.retries_left and refusal.retry_after_ms <= left_ms / 3:
             call.retries_left -= 1
-            self.after(refusal.retry_after_ms + 2 * CLIENT_MS, self.submit, call)
+            self.loop.after(refusal.retry_after_ms + 2 * CLIENT_MS, self.submit, call)
         else:
             call.refused = True
 
@@ -262,13 +241,13 @@
         upstream = selection.upstream
         attempt = SimulatedAttempt(node, call, selection, self.clock.now_ms())
         delay_ms = self.delay_ms(node.location, upstream.spec)
-        self.at(call.deadline_ms(), self.time_out, attempt)
+        self.loop.at(call.deadline_ms(), self.time_out, attempt)
         if node.take_connection(upstream):
-            self.after(delay_ms, self.receive, attempt)
+            self.loop.after(delay_ms, self.receive, attempt)
         else:
             self.connects += 1
             node.state.selector.distances.observe(upstream.spec, 2 * delay_ms)
-            self.after(3 * delay_ms, self.receive, attempt)
+            self.loop.after(3 * delay_ms, self.receive, attempt)
 
     def receive(self, attempt: SimulatedAttempt) -> None:
         """Run a request at its upstream, queue it or turn it away."""
@@ -278,7 +257,7 @@
         elif len(upstream.waiting) < upstream.queue_limit:
             upstream.waiting.append(attempt)
         else:
-            self.after(
+            self.loop.after(
                 self.way_back_ms(attempt),
                 self.turned_away,
                 attempt,
@@ -290,7 +269,7 @@
         upstream = self.upstreams[attempt.selection.upstream.name]
         attempt.is_working = True
         work_ms = upstream.begin(attempt.call.key, self.clock.now_ms())
-        self.after(work_ms, self.finish, attempt)
+        self.loop.after(work_ms, self.finish, attempt)
 
     def finish(self, attempt: SimulatedAttempt) -> None:
         """End a request's work, unless it was cancelled, and answer it."""
@@ -299,7 +278,7 @@
         self.free_slot(attempt)
         upstream = self.upstreams[attempt.selection.upstream.name]
         load = (upstream.running, len(upstream.waiting))
-        self.after(self.way_back_ms(attempt), self.answered, attempt, load)
+        self.loop.after(self.way_back_ms(attempt), self.answered, attempt, load)
 
     def free_slot(self, attempt: SimulatedAttempt) -> None:
         """End a request's work and start the next one that waits."""
@@ -353,7 +332,7 @@
         expected_ms = max(attempt.selection.expected_ms, 1.0)
         ratio = (now_ms - attempt.sent_at_ms) / expected_ms
         attempt.selection.upstream.on_processing_time(ratio, now_ms)
-        self.after(self.way_back_ms(attempt), self.cancel_work, attempt)
+        self.loop.after(self.way_back_ms(attempt), self.cancel_work, attempt)
 
     def cancel_work(self, attempt: SimulatedAttempt) -> None:
         """Free the slot of a cancelled request."""
@@ -365,58 +344,11 @@
         attempt.has_ended = True
         attempt.node.placer.release(attempt.selection.upstream)
 
-    # What nodes tell each other
-
-    def send_heartbeat(self, node: SimulatedNode) -> None:
-        """Tell the other nodes of the domain this node's requests."""
-        counts = node.state.in_flight()
-        now_ms = self.clock.now_ms()
-        slow = make_slow_reports(node.state.upstreams.by_name.values(), now_ms)
-        for peer in self.nodes[node.location.failure_domain]:
-            if peer is not node:
-                peer.state.peer_loads.update(node.state.node, counts, now_ms)
-                merge_slow_reports(slow, peer.state.upstreams.by_name, now_ms)
-        self.after(HEARTBEAT_MS, self.send_heartbeat, node)
-
-    def send_summaries(self, domain: str, interval_ms: int, in_region: bool) -> None:
-        """Tell the nodes of other domains the requests of this one."""
-        total: Counter[str] = Counter()
-        for node in self.nodes[domain]:
-            total.update(node.state.in_flight())
-        leader = self.nodes[domain][0].state
-        slow = make_slow_reports(leader.upstreams.by_name.values(), self.clock.now_ms())
-        region = domain.rpartition("-")[0]
-        for other, nodes in self.nodes.items():
-            same = other.rpartition("-")[0] == region
-            if other == domain or same is not in_region:
-                continue
-            delay_ms = self.model.domain_ms if same else self.model.region_ms
-            self.after(delay_ms, self.receive_summary, nodes, domain, total, slow, same)
-        self.after(interval_ms, self.send_summaries, domain, interval_ms, in_region)
-
-    def receive_summary(
-        self,
-        nodes: list[SimulatedNode],
-        domain: str,
-        total: Counter[str],
-        slow: list[SlowReport],
-        same_region: bool,
-    ) -> None:
-        """Merge another domain's requests at some nodes."""
-        now_ms = self.clock.now_ms()
-        for node in nodes:
-            loads = node.state.peer_loads
-            if same_region:
-                loads.update(domain, total, now_ms)
-            else:
-                loads.update_mean(domain, total, now_ms)
-            merge_slow_reports(slow, node.state.upstreams.by_name, now_ms)
-
     def poll_queues(self, node: SimulatedNode) -> None:
         """Serve a node's queues, as it does at regular intervals."""
         for service in list(node.placer.queues):
             node.placer.start_queued(service)
-        self.after(QUEUE_POLL_MS, self.poll_queues, node)
+        self.loop.after(QUEUE_POLL_MS, self.poll_queues, node)
 
 
 def run_seconds(model: DeploymentModel, seed: int, seconds: int) -> PlacementSimulation:
--- a/tests/bench/test_placement.py
+++ b/tests/bench/test_placement.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from bench import placement_sim
+from bench import placement_peers
 from bench.placement import Size, make_model
 from bench.placement_model import SlowSpell
 from bench.placement_outcome import outcome_of
@@ -43,7 +43,7 @@
     monkeypatch,
 ):
     told = unserved_while_slow()
-    monkeypatch.setattr(placement_sim, "make_slow_reports", lambda upstreams, now: [])
+    monkeypatch.setattr(placement_peers, "make_slow_reports", lambda upstreams, now: [])
     assert told <= 0.75 * unserved_while_slow()
 
 
