--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -51,6 +51,10 @@
     share: float
     factor: float
 
+    def factor_at(self, now_ms: int) -> float:
+        """Return how many times as long a request takes that begins now."""
+        return self.factor if self.at_ms <= now_ms < self.end_ms else 1.0
+
 
 @dataclass(slots=True, frozen=True)
 class DeploymentModel:
@@ -118,16 +122,14 @@
     def begin(self, key: str, now_ms: int) -> int:
         """Occupy a slot; return how long the work takes, in ms."""
         self.running += 1
-        spell = self.slow_spell
-        is_slow = spell is not None and spell.at_ms <= now_ms < spell.end_ms
         work = self.service.work_ms * self.rng.gauss(1.0, WORK_SPREAD)
         if key in self.cached:
             self.hits += 1
             work *= KNOWN_OBJECT_FRACTION
         else:
             self.misses += 1
-        if spell is not None and is_slow:
-            work *= spell.factor
+        if self.slow_spell is not None:
+            work *= self.slow_spell.factor_at(now_ms)
         return max(1, int(work))
 
     def end(self, key: str) -> None:
--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -52,12 +52,16 @@
 
 @dataclass(slots=True)
 class SimulatedAttempt:
-    """Represent one attempt; its work ends early once it `has_ended`."""
+    """Represent one attempt, which took `connect_ms` to connect.
+
+    One that waits at its upstream doesn't run there once it `has_ended`.
+    """
 
     node: SimulatedNode
     call: Call
     selection: Selection
     sent_at_ms: int
+    connect_ms: int = 0
     is_working: bool = False
     has_ended: bool = False
 
@@ -246,8 +250,9 @@
             self.loop.after(delay_ms, self.receive, attempt)
         else:
             self.connects += 1
-            node.state.selector.distances.observe(upstream.spec, 2 * delay_ms)
-            self.loop.after(3 * delay_ms, self.receive, attempt)
+            attempt.connect_ms = 2 * delay_ms
+            node.state.selector.distances.observe(upstream.spec, attempt.connect_ms)
+            self.loop.after(attempt.connect_ms + delay_ms, self.receive, attempt)
 
     def receive(self, attempt: SimulatedAttempt) -> None:
         """Run a request at its upstream, queue it or turn it away."""
@@ -307,7 +312,7 @@
         upstream.on_answer(0, now_ms)
         node.keep_connection(upstream)
         distances = node.state.selector.distances
-        way_ms = distances.round_trip_ms(upstream.spec)
+        way_ms = distances.round_trip_ms(upstream.spec) + attempt.connect_ms
         is_local = distances.between(upstream.spec) is not Distance.OTHER_REGION
         took_ms = max(0.0, now_ms - attempt.sent_at_ms - way_ms)
         ratio = times.observe(attempt.selection.warmth, took_ms, is_local)
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -180,11 +180,12 @@
 
     def is_slow(self, now_ms: int) -> bool:
         """Return whether it is clearly slower than expected."""
-        return self.decayed_slow_ratio(now_ms) >= MIN_SLOW_RATIO
+        return self.slow_factor(now_ms) > 1.0
 
     def slow_factor(self, now_ms: int) -> float:
         """Return the factor on expected times, 1 unless it is slow."""
-        return self.decayed_slow_ratio(now_ms) if self.is_slow(now_ms) else 1.0
+        ratio = self.decayed_slow_ratio(now_ms)
+        return ratio if ratio >= MIN_SLOW_RATIO else 1.0
 
     def is_warm(self, key: str, now_ms: int) -> bool:
         """Return whether this node recently sent it a request for `key`."""
