Log the rate limits that upstreams name, and what they are sent

The logs couldn't tell whether nodes don't read the limit, don't divide it, or bypass it. Nodes now log each change of a limit and, once a second, the first attempts and retries that they sent to a limited upstream; a metric counts such upstreams. No decision changed.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -62,6 +62,9 @@
 COLD_PROCESSING_FACTOR = 2.0
 COLD_RATE_FRACTION = 0.9
 
+# Time in which a request loses most of its weight in a measured rate.
+SEND_RATE_WINDOW_MS = 2_000
+
 MIN_RETRY_AFTER_MS = 50
 # Later return of some callers, as a fraction of the expected wait.
 RETRY_AFTER_SPREAD = 0.5
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -1,6 +1,7 @@
 """Update the state of upstreams from the outcomes of attempts."""
 
 import logging
+import re
 from dataclasses import dataclass
 from http import HTTPStatus
 
@@ -12,11 +13,13 @@
 
 from .connections import ExchangeOutcome
 from .messages import HeaderNames
+from .rate_limit_log import log_rate_limit
 from .state import EntryState
 
 _LOGGER = logging.getLogger(__name__)
 
 LOAD_HEADER_FIELDS = 3
+DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 UPSTREAM_FAILURE_POINTS = frozenset(
     {
         FailurePoint.AWAITING_ANSWER,
@@ -35,6 +38,11 @@
     slots: int
 
 
+def parse_decimal(text: str) -> float | None:
+    """Return a non-negative decimal number, None for any other text."""
+    return float(text) if DECIMAL_PATTERN.fullmatch(text.strip()) else None
+
+
 class OutcomeRecorder:
     """Apply the outcomes of attempts to the state of upstreams."""
 
@@ -58,6 +66,8 @@
         if outcome.connect_ms is not None:
             self.state.selector.distances.observe(upstream.spec, outcome.connect_ms)
         load = self._record_load(upstream, outcome, now_ms)
+        if point is None or point is FailurePoint.SHED_NOT_RUN:
+            self._record_rate_limit(upstream, outcome, now_ms)
         if point is None:
             pool = self.state.pool(upstream.spec.service)
             upstream.on_answer(pool.cold_start_ms, now_ms)
@@ -142,6 +152,23 @@
                 ratio,
             )
 
+    def _record_rate_limit(
+        self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
+    ) -> None:
+        """Record the limit that an answer names, or that it names none."""
+        parser = outcome.parser
+        if parser is None or parser.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        text = parser.first(self.header_names.rate_limit.lower())
+        limit_per_s = parse_decimal(text) if text is not None else None
+        if text is not None and limit_per_s is None:
+            _LOGGER.warning(
+                "entry: Invalid rate limit of upstream %s: %s.", upstream.name, text
+            )
+            return
+        if upstream.on_rate_limit(limit_per_s, now_ms):
+            log_rate_limit(upstream, "its answer")
+
     def _record_load(
         self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
     ) -> LoadReport | None:
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -29,6 +29,7 @@
 from .heads import encode_request
 from .messages import EntryAnswer, EntryRequest, HeaderNames, local_answer
 from .placer import Placer
+from .rate_limit_log import RateLimitLog
 from .request_log import RequestLog
 from .state import EntryState
 
@@ -47,6 +48,7 @@
         "is_refusing",
         "outcome_recorder",
         "placer",
+        "rate_limit_log",
         "request_log",
         "state",
     )
@@ -63,6 +65,7 @@
         self.connections = connections
         self.header_names = header_names
         self.outcome_recorder = OutcomeRecorder(state, header_names)
+        self.rate_limit_log = RateLimitLog(state.clock)
         self.request_log = RequestLog(state, placer)
         self.is_refusing = False
 
@@ -188,6 +191,7 @@
         )
         if active.first_sent_ms < 0:
             active.first_sent_ms = now_ms - active.request.arrived_ms
+        self.rate_limit_log.record_attempt(upstream, is_retry=active.attempts > 0)
         active.request.on_caller_gone = attempt.cancel
         active.tried_upstreams.add(upstream.name)
         try:
--- a/packages/bilberry_router/src/bilberry_router/entry/messages.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/messages.py
@@ -15,6 +15,8 @@
     `timeout` is the time left in ms, `affinity` the object's key, `digest`
     an upstream's mark on its own answers, `load` its running requests,
     waiting requests and slots, and `not_run` means that nothing ran.
+    `rate_limit` is how many requests a second an upstream takes from all
+    nodes together.
     """
 
     request_id: str
@@ -24,6 +26,7 @@
     expected_upstream: str
     load: str
     not_run: str
+    rate_limit: str
 
 
 @dataclass(slots=True)
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -157,6 +157,12 @@
             state.count_slow_upstreams(service, now_ms),
             service=service,
         )
+        metrics.set_gauge(
+            "bilberry_entry_rate_limited_upstreams",
+            "Upstreams of the service that name a limit on their request rate.",
+            state.count_rate_limited_upstreams(service),
+            service=service,
+        )
         metrics.set_gauge(
             "bilberry_entry_queued",
             "Requests that wait here for room at the service.",
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -162,6 +162,11 @@
         pool = self.upstreams.pools.get(service, {})
         return sum(upstream.is_slow(now_ms) for upstream in pool.values())
 
+    def count_rate_limited_upstreams(self, service: str) -> int:
+        """Return how many of a service's upstreams name a rate limit."""
+        pool = self.upstreams.pools.get(service, {})
+        return sum(u.rate_limit_per_s is not None for u in pool.values())
+
     def set_shared_limits(self, shared_limits: SharedLimits) -> None:
         """Apply changed limits."""
         self.shared_limits = shared_limits
--- a/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
@@ -40,7 +40,8 @@
     `script` contains raw bytes to send instead of the next answers, None
     for a reset; `shed_next` is the number of next requests to reject; no
     request ends before `hold` is set; `build_leading_bytes` and
-    `build_trailing_bytes` return bytes to send before and after an answer.
+    `build_trailing_bytes` return bytes to send before and after an answer;
+    `extra_headers` are header lines added to all answers.
     """
 
     script: list[bytes | None] = field(default_factory=list)
@@ -48,6 +49,7 @@
     hold: Event | None = None
     build_leading_bytes: Callable[[ServedRequest], bytes] | None = None
     build_trailing_bytes: Callable[[ServedRequest], bytes] | None = None
+    extra_headers: list[str] = field(default_factory=list)
 
 
 class UpstreamServer:
@@ -177,6 +179,7 @@
             f"{self.header_names.request_id}: {served.request_id}",
             f"{self.header_names.digest}: digest-of-{served.request_id}",
             f"{self.header_names.load}: {self.running},{self.waiting},{self.slots}",
+            *self.faults.extra_headers,
             f"Content-Length: {len(body)}",
         ]
         return "\r\n".join(lines).encode() + END_OF_HEAD + body
@@ -223,6 +226,7 @@
             "HTTP/1.1 503 Service Unavailable",
             f"{self.header_names.not_run}: 1",
             f"{self.header_names.load}: {self.running},{self.waiting},{self.slots}",
+            *self.faults.extra_headers,
             "Content-Length: 0",
         ]
         return "\r\n".join(lines).encode() + END_OF_HEAD
--- a/tests/bilberry_router/entry/common.py
+++ b/tests/bilberry_router/entry/common.py
@@ -35,6 +35,7 @@
     expected_upstream="X-Expected",
     load="X-Load",
     not_run="X-Not-Run",
+    rate_limit="X-Rate-Limit",
 )
 SHARED_LIMITS = SharedLimits(
     retry_fraction=0.2,
