--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -56,6 +56,25 @@
         return self.factor if self.at_ms <= now_ms < self.end_ms else 1.0
 
 
+@dataclass(slots=True, frozen=True)
+class RateLimitSpell:
+    """Describe a time in which a share of a service's upstreams name a limit.
+
+    Each takes `per_s` requests a second of all nodes together, and says so in
+    its answers; it serves others as usual.
+    """
+
+    service: str
+    at_ms: int
+    end_ms: int
+    share: float
+    per_s: float
+
+    def limit_at(self, now_ms: int) -> float | None:
+        """Return the limit that an answer names, None without one."""
+        return self.per_s if self.at_ms <= now_ms < self.end_ms else None
+
+
 @dataclass(slots=True, frozen=True)
 class DeploymentModel:
     """Describe regions, nodes and load; delays are one-way, in ms.
@@ -72,6 +91,7 @@
     domain_ms: int = 4
     region_ms: int = 55
     slow_spell: SlowSpell | None = None
+    rate_limit_spell: RateLimitSpell | None = None
 
     def load_factor(self, region: str, now_ms: int) -> float:
         """Return a region's load at a time, as a ratio to its mean."""
@@ -107,12 +127,17 @@
 
 @dataclass(slots=True)
 class UpstreamModel:
-    """Run requests on slots; an object that was handled lately is faster."""
+    """Run requests on slots; an object that was handled lately is faster.
+
+    `arrivals_ms` are the times at which requests arrived.
+    """
 
     service: ServiceModel
     rng: random.Random
     queue_limit: int
     slow_spell: SlowSpell | None = None
+    rate_limit_spell: RateLimitSpell | None = None
+    arrivals_ms: list[int] = field(default_factory=list)
     running: int = 0
     waiting: deque[Any] = field(default_factory=deque)
     cached: OrderedDict[str, None] = field(default_factory=OrderedDict)
@@ -132,6 +157,11 @@
             work *= self.slow_spell.factor_at(now_ms)
         return max(1, int(work))
 
+    def rate_limit(self, now_ms: int) -> float | None:
+        """Return the limit that an answer names, None without one."""
+        spell = self.rate_limit_spell
+        return spell.limit_at(now_ms) if spell is not None else None
+
     def end(self, key: str) -> None:
         """Free a slot, and remember the object."""
         self.running -= 1
--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 from bilberry_balance.placement.admission import Refusal
 from bilberry_balance.placement.candidates import Selection, UpstreamRequirements
@@ -19,6 +20,7 @@
 from .placement_model import (
     Call,
     DeploymentModel,
+    RateLimitSpell,
     ServiceModel,
     SlowSpell,
     UpstreamModel,
@@ -27,6 +29,8 @@
 from .placement_node import SimulatedNode, make_node
 from .placement_peers import PeerMessages
 
+Spell = TypeVar("Spell", SlowSpell, RateLimitSpell)
+
 CLIENT_MS = 2
 QUEUED_PER_SLOT = 3
 OBJECT_SKEW = 0.2
@@ -117,17 +121,10 @@
                     service,
                     self.rng,
                     service.slots * QUEUED_PER_SLOT,
-                    self.slow_spell_of(service, index),
+                    spell_of(self.model.slow_spell, service, index),
+                    spell_of(self.model.rate_limit_spell, service, index),
                 )
 
-    def slow_spell_of(self, service: ServiceModel, index: int) -> SlowSpell | None:
-        """Return the slow spell of a region's `index`-th upstream, if any."""
-        spell = self.model.slow_spell
-        if spell is None or spell.service != service.name:
-            return None
-        is_slow = int((index + 1) * spell.share) > int(index * spell.share)
-        return spell if is_slow else None
-
     def run(self, duration_ms: int) -> None:
         """Play requests for a duration; the last ones may not have ended."""
         PeerMessages(self.loop, self.model, self.nodes).start(self.rng)
@@ -257,6 +254,7 @@
     def receive(self, attempt: SimulatedAttempt) -> None:
         """Run a request at its upstream, queue it or turn it away."""
         upstream = self.upstreams[attempt.selection.upstream.name]
+        upstream.arrivals_ms.append(self.clock.now_ms())
         if upstream.running < upstream.service.slots:
             self.work(attempt)
         elif len(upstream.waiting) < upstream.queue_limit:
@@ -283,7 +281,10 @@
         self.free_slot(attempt)
         upstream = self.upstreams[attempt.selection.upstream.name]
         load = (upstream.running, len(upstream.waiting))
-        self.loop.after(self.way_back_ms(attempt), self.answered, attempt, load)
+        limit_per_s = upstream.rate_limit(self.clock.now_ms())
+        self.loop.after(
+            self.way_back_ms(attempt), self.answered, attempt, load, limit_per_s
+        )
 
     def free_slot(self, attempt: SimulatedAttempt) -> None:
         """End a request's work and start the next one that waits."""
@@ -300,7 +301,12 @@
         """Return the one-way delay from an attempt's upstream."""
         return self.delay_ms(attempt.node.location, attempt.selection.upstream.spec)
 
-    def answered(self, attempt: SimulatedAttempt, load: tuple[int, int]) -> None:
+    def answered(
+        self,
+        attempt: SimulatedAttempt,
+        load: tuple[int, int],
+        limit_per_s: float | None,
+    ) -> None:
         """Record an answer at its node and hand it to the caller."""
         if attempt.has_ended:
             return
@@ -310,6 +316,7 @@
         times = self.processing_times(node, attempt.call.service)
         upstream.on_report(*load, now_ms)
         upstream.on_answer(0, now_ms)
+        upstream.on_rate_limit(limit_per_s, now_ms)
         node.keep_connection(upstream)
         distances = node.state.selector.distances
         way_ms = distances.round_trip_ms(upstream.spec) + attempt.connect_ms
@@ -356,6 +363,14 @@
         self.loop.after(QUEUE_POLL_MS, self.poll_queues, node)
 
 
+def spell_of(spell: Spell | None, service: ServiceModel, index: int) -> Spell | None:
+    """Return the spell of a region's `index`-th upstream, if it has any."""
+    if spell is None or spell.service != service.name:
+        return None
+    is_struck = int((index + 1) * spell.share) > int(index * spell.share)
+    return spell if is_struck else None
+
+
 def run_seconds(model: DeploymentModel, seed: int, seconds: int) -> PlacementSimulation:
     """Return a simulation that has played for some seconds."""
     simulation = PlacementSimulation(model, seed)
