Stop using an upstream whose own answer says that it leaves

What callers saw: requests at an upstream that stops soon, and its late failures, until its entry in the store told of it. Some upstreams never report it there.

Cause: the header of its answers wasn't read. Of the same kind: an upstream that turned out to be replaced at its address (421) was marked as draining, and the next renewal of its old entry overwrote the mark. What an upstream itself says now has a field of its own that lasts as long as the incarnation.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/directory.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/directory.py
@@ -23,9 +23,9 @@
     def accepts_requests(self, upstream: Upstream) -> bool:
         """Return whether it may get requests.
 
-        It is not draining, evacuated or replaced at its address.
+        It is not draining, leaving, evacuated or replaced at its address.
         """
-        if upstream.draining or self.is_replaced(upstream):
+        if upstream.draining or upstream.leaving or self.is_replaced(upstream):
             return False
         return upstream.spec.failure_domain not in self.evacuated
 
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -42,6 +42,9 @@
 @dataclass(slots=True)
 class Upstream:
     """Store the state of one upstream as seen by this node.
+
+    Its entry says whether it is `draining`; `leaving` is what its own answers
+    or its address told, and lasts as long as this incarnation.
     `reported_peer_load` is the number of requests of other nodes in its newest
     load report. `shed_waiting` is how many waited there when it last turned a
     request away for being full. `unreachable` is set from a failed connect
@@ -51,6 +54,7 @@
 
     spec: UpstreamSpec
     draining: bool = False
+    leaving: bool = False
     cold_until_ms: int = 0
     next_cold_send_ms: int = 0
     in_flight: int = 0
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -19,6 +19,7 @@
 _LOGGER = logging.getLogger(__name__)
 
 LOAD_HEADER_FIELDS = 3
+LEAVING_VALUE = "1"
 DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 UPSTREAM_FAILURE_POINTS = frozenset(
     {
@@ -68,6 +69,7 @@
         load = self._record_load(upstream, outcome, now_ms)
         if point is None or point is FailurePoint.SHED_NOT_RUN:
             self._record_rate_limit(upstream, outcome, now_ms)
+            self._record_leaving(upstream, outcome)
         if point is None:
             pool = self.state.pool(upstream.spec.service)
             upstream.on_answer(pool.cold_start_ms, now_ms)
@@ -114,7 +116,7 @@
             _LOGGER.warning(
                 "entry: Upstream %s was replaced at its address.", upstream.name
             )
-            upstream.draining = True
+            upstream.leaving = True
             return
         has_free_slot = load is not None and load.running < load.slots
         upstream.on_shed(has_free_slot, load.waiting if load else 0, now_ms)
@@ -169,6 +171,16 @@
         if upstream.rate_limit.on_answer(limit_per_s, now_ms):
             log_rate_limit(upstream, "its answer")
 
+    def _record_leaving(self, upstream: Upstream, outcome: ExchangeOutcome) -> None:
+        """Record that an answer tells that its upstream will stop."""
+        parser = outcome.parser
+        if parser is None or parser.status == HTTPStatus.MISDIRECTED_REQUEST:
+            return
+        value = parser.first(self.header_names.leaving.lower())
+        if value == LEAVING_VALUE and not upstream.leaving:
+            upstream.leaving = True
+            _LOGGER.info("entry: Upstream %s says that it is leaving.", upstream.name)
+
     def _record_load(
         self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
     ) -> LoadReport | None:
--- a/packages/bilberry_router/src/bilberry_router/entry/messages.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/messages.py
@@ -16,7 +16,7 @@
     an upstream's mark on its own answers, `load` its running requests,
     waiting requests and slots, and `not_run` means that nothing ran.
     `rate_limit` is how many requests a second an upstream takes from all
-    nodes together.
+    nodes together, and `leaving` tells that it will stop.
     """
 
     request_id: str
@@ -27,6 +27,7 @@
     load: str
     not_run: str
     rate_limit: str
+    leaving: str
 
 
 @dataclass(slots=True)
--- a/tests/bilberry_router/entry/common.py
+++ b/tests/bilberry_router/entry/common.py
@@ -36,6 +36,7 @@
     load="X-Load",
     not_run="X-Not-Run",
     rate_limit="X-Rate-Limit",
+    leaving="X-Leaving",
 )
 SHARED_LIMITS = SharedLimits(
     retry_fraction=0.2,
