Apply an answer before its slot goes to a queued request

What callers saw: a queued request went to the upstream whose answer had just said that it leaves. The same held for a limit, a full upstream and a slow one: the first queued request was placed by what was known before the answer.

Cause: the slot was released, which starts what is queued, before the outcome was recorded. Now the outcome is recorded in between. The placement simulation does the same.

Evidence: test_a_queued_request_is_not_sent_to_an_upstream_that_leaves_meanwhile failed before (the second request was answered 200 by the leaving upstream).

--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -326,6 +326,7 @@
         ratio = times.observe(attempt.selection.warmth, took_ms, is_local)
         upstream.on_processing_time(ratio, now_ms)
         attempt.call.ended_ms = now_ms + CLIENT_MS
+        self.start_queued(attempt)
 
     def turned_away(self, attempt: SimulatedAttempt, waiting: int) -> None:
         """Place a request again that a full upstream refused."""
@@ -334,6 +335,7 @@
         self.end_attempt(attempt)
         now_ms = self.clock.now_ms()
         attempt.selection.upstream.on_shed(False, waiting, now_ms)
+        self.start_queued(attempt)
         self.submit(attempt.call)
 
     def time_out(self, attempt: SimulatedAttempt) -> None:
@@ -345,6 +347,7 @@
         expected_ms = max(attempt.selection.expected_ms, 1.0)
         ratio = (now_ms - attempt.sent_at_ms) / expected_ms
         attempt.selection.upstream.on_processing_time(ratio, now_ms)
+        self.start_queued(attempt)
         self.loop.after(self.way_back_ms(attempt), self.cancel_work, attempt)
 
     def cancel_work(self, attempt: SimulatedAttempt) -> None:
@@ -353,9 +356,13 @@
             self.free_slot(attempt)
 
     def end_attempt(self, attempt: SimulatedAttempt) -> None:
-        """Release the slot that its node had reserved."""
+        """Free the slot that its node had reserved."""
         attempt.has_ended = True
-        attempt.node.placer.release(attempt.selection.upstream)
+        attempt.node.placer.free_slot(attempt.selection.upstream)
+
+    def start_queued(self, attempt: SimulatedAttempt) -> None:
+        """Start what waits for the slot of an attempt that was recorded."""
+        attempt.node.placer.start_queued(attempt.call.service.name)
 
     def adjust_rate_limits(self, node: SimulatedNode) -> None:
         """Adjust a node to rate limits, as it does at regular intervals."""
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -6,6 +6,7 @@
 from bilberry_balance.placement.admission import Refusal, spread_retry_after_ms
 from bilberry_balance.placement.candidates import Selection
 from bilberry_balance.placement.processing_times import Warmth
+from bilberry_balance.placement.upstream import Upstream
 from bilberry_resources.routing import RouteRule
 from bilberry_steering.route_table import RouteEntry
 
@@ -194,27 +195,48 @@
         self.rate_limit_log.record_attempt(upstream, is_retry=active.attempts > 0)
         active.request.on_caller_gone = attempt.cancel
         active.tried_upstreams.add(upstream.name)
+        try:
+            outcome = self.exchange(active, upstream, attempt)
+            self.record_attempt(active, selection, attempt, outcome, now_ms)
+        finally:
+            # Not before, as the answer may say what its upstream takes.
+            self.placer.start_queued(upstream.spec.service)
+        return AttemptRecord(outcome, now_ms, load, report_age_ms)
+
+    def exchange(
+        self, active: ActiveRequest, upstream: Upstream, attempt: Attempt
+    ) -> ExchangeOutcome:
+        """Return the outcome of an attempt, and free its slot."""
         try:
             outcome = self.connections.exchange(upstream.spec.address, attempt)
         finally:
             active.request.on_caller_gone = None
-            self.placer.release(upstream)
-        if attempt.sent:
-            active.attempts += 1
+            self.placer.free_slot(upstream)
         outcome.point = answer_failure_point(outcome, self.header_names)
-        took_ms = self.state.clock.now_ms() - now_ms
+        return outcome
+
+    def record_attempt(
+        self,
+        active: ActiveRequest,
+        selection: Selection,
+        attempt: Attempt,
+        outcome: ExchangeOutcome,
+        sent_at_ms: int,
+    ) -> None:
+        """Count an attempt that has ended, and apply what it tells."""
         end = outcome.point or END_ANSWERED
         if outcome.point is None and is_server_error(outcome):
             end = END_UPSTREAM_FAILED
         counts = self.state.counts
+        took_ms = self.state.clock.now_ms() - sent_at_ms
         counts.record_attempt(active.service, end, took_ms)
         if attempt.sent:
-            distance = self.state.selector.distances.between(upstream.spec)
+            active.attempts += 1
+            distance = self.state.selector.distances.between(selection.upstream.spec)
             counts.record_traffic(len(attempt.data), outcome.received_bytes, distance)
         processing_times = self.state.processing_times(active.rule, active.service)
         self.record_crash_evidence(active, selection, outcome)
-        self.outcome_recorder.record(selection, outcome, processing_times, now_ms)
-        return AttemptRecord(outcome, now_ms, load, report_age_ms)
+        self.outcome_recorder.record(selection, outcome, processing_times, sent_at_ms)
 
     def record_crash_evidence(
         self, active: ActiveRequest, selection: Selection, outcome: ExchangeOutcome
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -274,6 +274,10 @@
             state.selector.record_key(upstream, requirements.key, now_ms)
 
     def release(self, upstream: Upstream) -> None:
-        """Release the slot of a request that has ended."""
-        upstream.in_flight -= 1
+        """Release the slot of a request, and start those that wait for it."""
+        self.free_slot(upstream)
         self.start_queued(upstream.spec.service)
+
+    def free_slot(self, upstream: Upstream) -> None:
+        """Record that a request of this node has ended at an upstream."""
+        upstream.in_flight -= 1
--- a/tests/bilberry_router/entry/test_leaving.py
+++ b/tests/bilberry_router/entry/test_leaving.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from .common import NAMES, Rig
+from .common import NAMES, Rig, eventually
 
 LEAVING = [f"{NAMES.leaving}: 1"]
 
@@ -51,3 +51,18 @@
         rig.upstreams[0].faults.extra_headers = []
         rig.register(rig.upstreams[0])
         assert rig.ask("/read/y", request_id="r2").status == 200
+
+
+def test_a_queued_request_is_not_sent_to_an_upstream_that_leaves_meanwhile():
+    with Rig(count=1, slots=1) as rig:
+        rig.upstreams[0].faults.extra_headers = LEAVING
+        release = rig.hold()
+        first, second = rig.client(), rig.client()
+        first.send("/read/x")
+        eventually(lambda: rig.ran)
+        second.send("/read/y", request_id="r2")
+        eventually(lambda: rig.queued)
+        release.set()
+        assert first.answer().status == 200
+        assert second.answer().status == 503
+        assert len(rig.ran) == 1
