Send an upstream nothing for the time that it asks for in a 503

What callers saw: requests were sent to upstreams that had just asked for a pause, and were refused again, each at the price of an attempt. Where all upstreams asked for one that ends later than a request may wait, callers waited in vain.

Cause: Retry-After in an upstream's refusal wasn't read; refusals blocked it for 0.5 s at most. A node now sends nothing until the time has passed, also if answers to earlier requests arrive meanwhile, and refuses at once what no upstream wants in time, with the time that is left as its own Retry-After.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
@@ -144,6 +144,22 @@
             and not upstream.is_blocked(now_ms)
         )
 
+    def refused_until_ms(
+        self,
+        requirements: UpstreamRequirements,
+        usable: Callable[[Upstream], bool],
+    ) -> int:
+        """Return until when each upstream wants nothing from this node."""
+        pool = self.pools.get(requirements.service, {})
+        return min(
+            (
+                upstream.refuses_until_ms
+                for upstream in pool.values()
+                if usable(upstream) and _is_eligible(upstream, requirements)
+            ),
+            default=0,
+        )
+
     def count_availability(
         self,
         requirements: UpstreamRequirements,
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -44,7 +44,8 @@
     """Store the state of one upstream as seen by this node.
 
     Its entry says whether it is `draining`; `leaving` is what its own answers
-    or its address told, and lasts as long as this incarnation.
+    or its address told, and lasts as long as this incarnation. It wants
+    nothing from this node until `refuses_until_ms`.
     `reported_peer_load` is the number of requests of other nodes in its newest
     load report. `shed_waiting` is how many waited there when it last turned a
     request away for being full. `unreachable` is set from a failed connect
@@ -64,6 +65,7 @@
     consecutive_sheds: int = 0
     unreachable: bool = False
     blocked_until_ms: int = 0
+    refuses_until_ms: int = 0
     slow_ratio: float = 1.0
     slow_ratio_at_ms: int = 0
     has_been_slow: bool = False
@@ -83,11 +85,11 @@
         return now_ms < self.cold_until_ms
 
     def is_blocked(self, now_ms: int) -> bool:
-        """Return whether requests are blocked because of failures.
+        """Return whether it wants no requests, or has failed too often.
 
         After the block, an unreachable upstream gets one request at a time.
         """
-        if now_ms < self.blocked_until_ms:
+        if now_ms < max(self.blocked_until_ms, self.refuses_until_ms):
             return True
         return self.unreachable and self.in_flight > 0
 
@@ -137,6 +139,10 @@
         if self.consecutive_sheds >= SHEDS_TO_BLOCK:
             self.blocked_until_ms = now_ms + SHED_BLOCK_MS
 
+    def on_retry_after(self, retry_after_ms: int, now_ms: int) -> None:
+        """Record that it wants nothing from this node for a while."""
+        self.refuses_until_ms = max(self.refuses_until_ms, now_ms + retry_after_ms)
+
     def on_failure(self, now_ms: int) -> None:
         """Record an answer that was lost or malformed."""
         self.consecutive_failures += 1
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -1,6 +1,7 @@
 """Update the state of upstreams from the outcomes of attempts."""
 
 import logging
+import math
 import re
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -10,6 +11,7 @@
 from bilberry_balance.placement.distances import Distance
 from bilberry_balance.placement.processing_times import ProcessingTimes
 from bilberry_balance.placement.upstream import Upstream
+from bilberry_core.const import HEADER_RETRY_AFTER, MS_PER_SECOND
 
 from .connections import ExchangeOutcome
 from .messages import HeaderNames
@@ -70,6 +72,7 @@
         if point is None or point is FailurePoint.SHED_NOT_RUN:
             self._record_rate_limit(upstream, outcome, now_ms)
             self._record_leaving(upstream, outcome)
+            self._record_retry_after(upstream, outcome, now_ms)
         if point is None:
             pool = self.state.pool(upstream.spec.service)
             upstream.on_answer(pool.cold_start_ms, now_ms)
@@ -181,6 +184,28 @@
             upstream.leaving = True
             _LOGGER.info("entry: Upstream %s says that it is leaving.", upstream.name)
 
+    def _record_retry_after(
+        self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
+    ) -> None:
+        """Record how long an upstream that refused wants nothing."""
+        parser = outcome.parser
+        if parser is None or parser.status != HTTPStatus.SERVICE_UNAVAILABLE:
+            return
+        text = parser.first(HEADER_RETRY_AFTER.lower())
+        if text is None:
+            return
+        seconds = parse_decimal(text)
+        if seconds is None:
+            _LOGGER.warning(
+                "entry: Invalid Retry-After of upstream %s: %s.", upstream.name, text
+            )
+            return
+        retry_after_ms = math.ceil(seconds * MS_PER_SECOND)
+        upstream.on_retry_after(retry_after_ms, now_ms)
+        _LOGGER.info(
+            "entry: Upstream %s wants nothing for %d ms.", upstream.name, retry_after_ms
+        )
+
     def _record_load(
         self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
     ) -> LoadReport | None:
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -128,6 +128,9 @@
         processing_ms = request.requirements.processing_times.expected_ms(Warmth.KNOWN)
         limits = wait_limits(request, int(processing_ms))
         expected_ms = self.expected_wait_ms(request, now_ms)
+        closed_ms = self.refused_until_ms(request) - now_ms
+        if closed_ms > limits.give_up_at_ms - now_ms:
+            return Refusal(closed_ms)
         refusal = admit(expected_ms, limits.give_up_at_ms - now_ms)
         if refusal is not None and not self.has_free_slot(request.requirements, now_ms):
             return refusal
@@ -191,6 +194,13 @@
             requirements, state.upstreams.accepts_requests, now_ms
         )
 
+    def refused_until_ms(self, request: PlacementRequest) -> int:
+        """Return until when no upstream wants a request from this node."""
+        state = self.state
+        return state.selector.refused_until_ms(
+            request.requirements, state.upstreams.accepts_requests
+        )
+
     def start_queued(self, service: str) -> None:
         """Start queued requests that find a slot, in their order."""
         queue = self.queues.get(service)
