--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
@@ -162,5 +162,6 @@
         address = peer.info.peer_address
         try:
             self.sock.sendto(data, split_address(address))
-        except OSError as error:
+        except (OSError, OverflowError, TypeError, ValueError) as error:
+            # All but the first are of an address that cannot be.
             _LOGGER.warning("heartbeats: Could not send to %s: %s.", address, error)
--- a/tests/bilberry_fleet/discovery/test_summaries.py
+++ b/tests/bilberry_fleet/discovery/test_summaries.py
@@ -1,15 +1,21 @@
 """All nodes learn who is alive, whatever happens to those that tell it."""
 
+import socket
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from bilberry_core.clock import ManualClock
 from bilberry_fleet.discovery.const import (
     DETAILS_MS,
     LISTEN_MS,
     OTHER_REGION_TIMEOUT_MS,
     SAME_DOMAIN_TIMEOUT_MS,
 )
+from bilberry_fleet.discovery.heartbeats import HeartbeatTask
+from bilberry_fleet.discovery.messages import Heartbeat, NodeInfo
+from bilberry_fleet.discovery.nodes import PeerTable
 from bilberry_testing.machines.network import SimulatedNetwork
 
 # A dead node is named no longer than this.
@@ -135,3 +141,23 @@
         node.paused = False
     network.run(FORGET_MS + DETAILS_MS)
     assert_agreed(network)
+
+
+@pytest.mark.parametrize("address", ["10.0.0.9:65536", "10.0.0.9:x", "\x00:7200"])
+def test_a_peer_with_an_odd_address_does_not_end_the_heartbeats(address):
+    clock = ManualClock()
+    own = NodeInfo("n1", "r1", "10.0.0.1:1", "10.0.0.1:7200", "d0", "r0")
+    odd = NodeInfo("n2", "r2", "10.0.0.9:1", address, "d0", "r0")
+    peers = PeerTable(own)
+    peers.on_stored_nodes([odd], 0)
+    task = HeartbeatTask(
+        peers,
+        clock,
+        lambda: Heartbeat(own, 1, True, 1, {}),
+        lambda heartbeat: None,
+        lambda summary: None,
+    )
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        task.sock = sock
+        task.send_due(0)
+    assert task.sent_bytes["heartbeat"] > 0
