Let a feed go on after an error while it reads

What callers saw (shown by a test): a node went on with what it knew, for good.

Cause: an error that nobody expected, in the store's client or in a listener, ended the greenlet of its feed, without more than a traceback.

Evidence: test_a_feed_goes_on_after_an_error_of_its_listener failed before.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -135,16 +135,24 @@
     def run(self) -> None:
         """List and watch the kind until closed."""
         while True:
-            is_probe = self.wait_for_store()
-            listed = self.source.list(self.kind)
-            if isinstance(listed, Failure):
-                self.handle_failure(listed.failure(), is_probe)
-                continue
-            snapshot = listed.unwrap()
-            self.record_answer()
-            self.revision = snapshot.revision
-            self.listener.on_snapshot(snapshot)
-            self.follow()
+            try:
+                self.list_and_follow()
+            except Exception:
+                _LOGGER.exception("discovery: Error while reading %s.", self.kind)
+                gevent.sleep(RETRY_MAX_MS / MS_PER_SECOND)
+
+    def list_and_follow(self) -> None:
+        """List the kind, and watch it until it must be listed again."""
+        is_probe = self.wait_for_store()
+        listed = self.source.list(self.kind)
+        if isinstance(listed, Failure):
+            self.handle_failure(listed.failure(), is_probe)
+            return
+        snapshot = listed.unwrap()
+        self.record_answer()
+        self.revision = snapshot.revision
+        self.listener.on_snapshot(snapshot)
+        self.follow()
 
     def follow(self) -> None:
         """Watch until the store drops the history."""
--- a/tests/bilberry_fleet/discovery/test_feed.py
+++ b/tests/bilberry_fleet/discovery/test_feed.py
@@ -105,6 +105,19 @@
         return [c for c in self.source.calls if c[2:] == (CATCH_UP_WAIT_MS, False)]
 
 
+def test_a_feed_goes_on_after_an_error_of_its_listener(monkeypatch, caplog):
+    monkeypatch.setattr(feed_module, "RETRY_MAX_MS", 1)
+    with FeedRig() as rig:
+        apply = rig.listener.on_changes
+        rig.listener.on_changes = lambda changes: 1 / 0
+        rig.source.answer(1, changes(11))
+        rig.listener.on_changes = apply
+        eventually(lambda: rig.source.calls[-1] == ("list",))
+        rig.source.answer(2, Snapshot([Record("u12", 12, {})], 12))
+        assert rig.listener.applied[-1] == [12]
+    assert "Error while reading servers" in caplog.text
+
+
 def test_only_watches_may_be_stale():
     with FeedRig() as rig:
         assert rig.source.calls[0] == ("list",)
