Refuse what waits or can't end before a planned stop

What callers saw: in a planned stop, requests that waited for a slot at the end of the grace were cut without an answer, bookings among them; those that got a slot late were passed on and cut at their upstream.

Cause: the drain refused new requests only. The queue and the choice of an upstream knew nothing of the end of the grace.

Evidence: two tests of tests/bilberry_platform/test_lifecycle.py failed before (no answer to a booking that waited; 200 to one that was passed on with less time than it takes).

--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -19,7 +19,13 @@
     placement_request,
 )
 from .answer_checks import answer_failure_point, is_server_error
-from .answers import draining_answer, failure_answer, forwarded_answer, refusal_answer
+from .answers import (
+    DRAINING_RETRY_MS,
+    draining_answer,
+    failure_answer,
+    forwarded_answer,
+    refusal_answer,
+)
 from .connections import Attempt, ConnectionPool, ExchangeOutcome
 from .const import MAX_FORWARDED_TIMEOUT_MS
 from .counts import (
@@ -41,7 +47,10 @@
 
 
 class Forwarder:
-    """Handle callers' requests by forwarding them to upstreams."""
+    """Handle callers' requests by forwarding them to upstreams.
+
+    The node stops at `stop_at_ms`, None while that isn't planned.
+    """
 
     __slots__ = (
         "connections",
@@ -52,6 +61,7 @@
         "rate_limit_log",
         "request_log",
         "state",
+        "stop_at_ms",
     )
 
     def __init__(
@@ -69,6 +79,7 @@
         self.rate_limit_log = RateLimitLog(state.clock)
         self.request_log = RequestLog(state, placer)
         self.is_refusing = False
+        self.stop_at_ms: int | None = None
 
     def may_overlap(self, head: RequestHead) -> bool:
         """Return whether it may run before earlier requests have ended."""
@@ -141,15 +152,9 @@
     def forward(self, active: ActiveRequest) -> EntryAnswer:
         """Send the request to upstreams until there is a final answer."""
         while True:
-            placed = self.placer.place(
-                placement_request(active, self.state), disconnect_hook(active)
-            )
-            if active.request.caller_gone:
-                if isinstance(placed, Selection):
-                    self.placer.release(placed.upstream)
-                return local_answer(HTTPStatus.BAD_REQUEST, "the caller is gone")
-            if isinstance(placed, Refusal):
-                return self.unplaced_answer(active, placed)
+            placed = self.place(active)
+            if isinstance(placed, EntryAnswer):
+                return placed
             record = self.attempt(active, placed)
             outcome = record.outcome
             if outcome.point is None:
@@ -175,6 +180,27 @@
                 budget = self.state.retry_budget(active.service)
                 budget.try_take(self.state.clock.now_ms())
 
+    def place(self, active: ActiveRequest) -> Selection | EntryAnswer:
+        """Return the upstream for the next attempt, or the final answer."""
+        placed = self.placer.place(
+            placement_request(active, self.state), disconnect_hook(active)
+        )
+        is_gone = active.request.caller_gone
+        if isinstance(placed, Selection) and (is_gone or self.ends_too_late(placed)):
+            self.placer.release(placed.upstream)
+            placed = Refusal(DRAINING_RETRY_MS)
+        if is_gone:
+            return local_answer(HTTPStatus.BAD_REQUEST, "the caller is gone")
+        if isinstance(placed, Refusal):
+            return self.unplaced_answer(active, placed)
+        return placed
+
+    def ends_too_late(self, selection: Selection) -> bool:
+        """Return whether the node stops before an answer is expected."""
+        if self.stop_at_ms is None:
+            return False
+        return self.state.clock.now_ms() + selection.expected_ms > self.stop_at_ms
+
     def attempt(self, active: ActiveRequest, selection: Selection) -> AttemptRecord:
         """Send the request to one upstream and record the outcome."""
         upstream = selection.upstream
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -25,6 +25,7 @@
     DRAIN_SERVE_FRACTION,
     DRAIN_SERVE_MS,
     EXPIRY_INTERVAL_MS,
+    LAST_REFUSALS_MS,
 )
 from .forwarder import Forwarder
 from .handlers import DirectoryHandler, ReadinessHandler
@@ -142,13 +143,19 @@
         grace_ms = self.state.shared_limits.stop_grace_ms - DRAIN_MARGIN_MS
         end_ms = self.clock.now_ms() + grace_ms
         self.draining = True
+        self.forwarder.stop_at_ms = end_ms
         self.membership.leave()
         self.entry_listener.start_draining()
         serve_ms = min(DRAIN_SERVE_MS, grace_ms * DRAIN_SERVE_FRACTION)
         gevent.sleep(serve_ms / MS_PER_SECOND)
         self.forwarder.is_refusing = True
         self.entry_listener.start_draining()
+        left_ms = max(0, end_ms - LAST_REFUSALS_MS - self.clock.now_ms())
+        refusals = gevent.spawn_later(
+            left_ms / MS_PER_SECOND, self.placer.refuse_queued
+        )
         all_answered = self.entry_listener.finish(max(0, end_ms - self.clock.now_ms()))
+        refusals.kill()
         self.close()
         _LOGGER.info("node: Stopped, all requests answered: %s.", all_answered)
         return all_answered
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -201,6 +201,12 @@
             request.requirements, state.upstreams.accepts_requests
         )
 
+    def refuse_queued(self) -> None:
+        """End the wait of all queued requests without a slot."""
+        for queue in self.queues.values():
+            for entry in list(queue.entries):
+                entry.item.abandon()
+
     def start_queued(self, service: str) -> None:
         """Start queued requests that find a slot, in their order."""
         queue = self.queues.get(service)
--- a/tests/bilberry_platform/test_lifecycle.py
+++ b/tests/bilberry_platform/test_lifecycle.py
@@ -4,7 +4,9 @@
 from gevent.event import Event
 
 from bilberry_router.entry.const import DRAIN_SERVE_FRACTION
+from bilberry_testing.machines.objects import config_of, route_spec
 
+from ..bilberry_balance.placement.common import forbid_waiting
 from ..bilberry_router.entry.common import eventually
 from .common import Deployment, connect, fetch
 
@@ -52,6 +54,60 @@
         deployment.nodes.clear()
 
 
+SLOW = {"timeout_s": 15, "target_latency_s": 8}
+
+
+class BusyNode:
+    """A node with a full upstream, and a booking that waits for a slot."""
+
+    def __init__(self, deployment):
+        routes = [
+            route_spec("read", "/read/", **SLOW),
+            route_spec("book", "/book/", kind="non_idempotent", **SLOW),
+        ]
+        deployment.write("config", "main", config_of(2, routes))
+        self.node = deployment.node()
+        self.upstream = deployment.upstreams[0]
+        self.release = self.upstream.faults.hold = Event()
+        forbid_waiting(self.node.state.upstreams.by_name[self.upstream.name])
+        slots = self.upstream.slots
+        self.running = [connect(self.node.entry_listener) for _ in range(slots)]
+        for index, client in enumerate(self.running):
+            client.send("/read/x", request_id=f"r{index}")
+        eventually(lambda: len(self.upstream.served_requests) == slots)
+        self.waiting = connect(self.node.entry_listener)
+        self.waiting.send("/book/x", method="POST", request_id="w", body=b"order")
+        eventually(lambda: self.node.placer.queue_length("s"))
+
+    def ran_bookings(self):
+        return [s for s in self.upstream.served_requests if s.method == "POST"]
+
+
+def test_a_request_that_still_waits_at_the_end_of_the_grace_is_refused():
+    with Deployment(upstreams=1, grace_ms=GRACE_MS) as deployment:
+        busy = BusyNode(deployment)
+        stopping = gevent.spawn(busy.node.stop)
+        answer = busy.waiting.answer()
+        assert (answer.status, answer.headers["connection"]) == (503, "close")
+        stopping.join()
+        busy.release.set()
+        assert busy.ran_bookings() == []
+        deployment.nodes.clear()
+
+
+def test_a_request_that_can_not_end_within_the_grace_is_not_passed_on():
+    with Deployment(upstreams=1, grace_ms=GRACE_MS) as deployment:
+        busy = BusyNode(deployment)
+        stopping = gevent.spawn(busy.node.stop)
+        eventually(lambda: busy.node.draining)
+        busy.release.set()
+        assert busy.waiting.answer().status == 503
+        assert all(client.answer().status == 200 for client in busy.running)
+        assert busy.ran_bookings() == []
+        stopping.join()
+        deployment.nodes.clear()
+
+
 def test_a_leaving_node_is_not_ready_and_still_serves_at_first():
     with Deployment(grace_ms=GRACE_MS) as deployment:
         node = deployment.node()
