Read an upstream's headers in one place, and bear odd ones

What callers saw (shown by a test): 502 in place of an upstream's complete answer, if its load header held a digit that isn't ASCII, or thousands of digits.

Cause: such text passed the check of digits and failed in int(), after the answer had been received. What upstreams say of themselves (load, rate limit, leaving, Retry-After) is now read in entry/upstream_headers.py, by patterns of ASCII digits; accounts.py only applies it.

Cleared up beside it: entry/ no longer imports from forward/. The filter of end-to-end headers, and the values of Connection that both worked out, stand once in http/header_filter.py.

Evidence: the superscript and the 5,000 digits in tests/bilberry_router/entry/test_upstream_headers.py were answered 502 before.

--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -1,9 +1,6 @@
 """Update the state of upstreams from the outcomes of attempts."""
 
 import logging
-import math
-import re
-from dataclasses import dataclass
 from http import HTTPStatus
 
 from bilberry_balance.outcomes import FailurePoint
@@ -11,18 +8,22 @@
 from bilberry_balance.placement.distances import Distance
 from bilberry_balance.placement.processing_times import ProcessingTimes
 from bilberry_balance.placement.upstream import Upstream
-from bilberry_core.const import HEADER_RETRY_AFTER, MS_PER_SECOND
+from bilberry_core.outcome import Failure
 
 from .connections import ExchangeOutcome
 from .messages import HeaderNames
 from .rate_limit_log import log_rate_limit
 from .state import EntryState
+from .upstream_headers import (
+    LoadReport,
+    is_leaving,
+    read_load,
+    read_rate_limit,
+    read_retry_after_ms,
+)
 
 _LOGGER = logging.getLogger(__name__)
 
-LOAD_HEADER_FIELDS = 3
-LEAVING_VALUE = "1"
-DECIMAL_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 UPSTREAM_FAILURE_POINTS = frozenset(
     {
         FailurePoint.AWAITING_ANSWER,
@@ -32,20 +33,6 @@
 )
 
 
-@dataclass(slots=True, frozen=True)
-class LoadReport:
-    """Represent an upstream's running and waiting requests, and its slots."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
-def parse_decimal(text: str) -> float | None:
-    """Return a non-negative decimal number, None for any other text."""
-    return float(text) if DECIMAL_PATTERN.fullmatch(text.strip()) else None
-
-
 class OutcomeRecorder:
     """Apply the outcomes of attempts to the state of upstreams."""
 
@@ -70,9 +57,7 @@
             self.state.selector.distances.observe(upstream.spec, outcome.connect_ms)
         load = self._record_load(upstream, outcome, now_ms)
         if point is None or point is FailurePoint.SHED_NOT_RUN:
-            self._record_rate_limit(upstream, outcome, now_ms)
-            self._record_leaving(upstream, outcome)
-            self._record_retry_after(upstream, outcome, now_ms)
+            self._record_wishes(upstream, outcome, now_ms)
         if point is None:
             pool = self.state.pool(upstream.spec.service)
             upstream.on_answer(pool.cold_start_ms, now_ms)
@@ -157,69 +142,47 @@
                 ratio,
             )
 
-    def _record_rate_limit(
+    def _record_wishes(
         self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
     ) -> None:
-        """Record the limit that an answer names, or that it names none."""
+        """Record what an answer says its upstream takes from now on."""
         parser = outcome.parser
         if parser is None or parser.status == HTTPStatus.MISDIRECTED_REQUEST:
             return
-        text = parser.first(self.header_names.rate_limit.lower())
-        limit_per_s = parse_decimal(text) if text is not None else None
-        if text is not None and limit_per_s is None:
-            _LOGGER.warning(
-                "entry: Invalid rate limit of upstream %s: %s.", upstream.name, text
-            )
-            return
-        if upstream.rate_limit.on_answer(limit_per_s, now_ms):
+        limit = read_rate_limit(parser, self.header_names)
+        if isinstance(limit, Failure):
+            _log_invalid_header(upstream, limit.failure())
+        elif upstream.rate_limit.on_answer(limit.unwrap(), now_ms):
             log_rate_limit(upstream, "its answer")
-
-    def _record_leaving(self, upstream: Upstream, outcome: ExchangeOutcome) -> None:
-        """Record that an answer tells that its upstream will stop."""
-        parser = outcome.parser
-        if parser is None or parser.status == HTTPStatus.MISDIRECTED_REQUEST:
-            return
-        value = parser.first(self.header_names.leaving.lower())
-        if value == LEAVING_VALUE and not upstream.leaving:
+        if is_leaving(parser, self.header_names) and not upstream.leaving:
             upstream.leaving = True
             _LOGGER.info("entry: Upstream %s says that it is leaving.", upstream.name)
-
-    def _record_retry_after(
-        self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
-    ) -> None:
-        """Record how long an upstream that refused wants nothing."""
-        parser = outcome.parser
-        if parser is None or parser.status != HTTPStatus.SERVICE_UNAVAILABLE:
-            return
-        text = parser.first(HEADER_RETRY_AFTER.lower())
-        if text is None:
-            return
-        seconds = parse_decimal(text)
-        if seconds is None:
-            _LOGGER.warning(
-                "entry: Invalid Retry-After of upstream %s: %s.", upstream.name, text
+        retry_after = read_retry_after_ms(parser)
+        if isinstance(retry_after, Failure):
+            _log_invalid_header(upstream, retry_after.failure())
+        elif (retry_after_ms := retry_after.unwrap()) is not None:
+            upstream.on_retry_after(retry_after_ms, now_ms)
+            _LOGGER.info(
+                "entry: Upstream %s wants nothing for %d ms.",
+                upstream.name,
+                retry_after_ms,
             )
-            return
-        retry_after_ms = math.ceil(seconds * MS_PER_SECOND)
-        upstream.on_retry_after(retry_after_ms, now_ms)
-        _LOGGER.info(
-            "entry: Upstream %s wants nothing for %d ms.", upstream.name, retry_after_ms
-        )
 
     def _record_load(
         self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
     ) -> LoadReport | None:
         """Record and return what an answer's load header tells."""
-        parser = outcome.parser
-        text = parser.first(self.header_names.load.lower()) if parser else None
-        if text is None:
+        if outcome.parser is None:
             return None
-        numbers = [part.strip() for part in text.split(",")]
-        if len(numbers) != LOAD_HEADER_FIELDS or not all(n.isdigit() for n in numbers):
-            _LOGGER.warning(
-                "entry: Invalid load header of upstream %s: %s.", upstream.name, text
-            )
+        read = read_load(outcome.parser, self.header_names)
+        if isinstance(read, Failure):
+            _log_invalid_header(upstream, read.failure())
             return None
-        load = LoadReport(*(int(number) for number in numbers))
-        upstream.on_report(load.running, load.waiting, now_ms)
+        load = read.unwrap()
+        if load is not None:
+            upstream.on_report(load.running, load.waiting, now_ms)
         return load
+
+
+def _log_invalid_header(upstream: Upstream, header: str) -> None:
+    _LOGGER.warning("entry: Invalid header of upstream %s: %s.", upstream.name, header)
--- a/packages/bilberry_router/src/bilberry_router/entry/heads.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/heads.py
@@ -2,15 +2,15 @@
 
 from bilberry_balance.placement.upstream import Upstream
 
-from ..forward.headers import filter_headers
-from ..http.const import HEADER_CONNECTION, HEADER_CONTENT_LENGTH, HOP_BY_HOP_HEADERS
+from ..http.const import HEADER_CONTENT_LENGTH
 from ..http.head import RequestHead
+from ..http.header_filter import filter_headers
 from ..http.messages import Headers
 from .messages import EntryRequest, HeaderNames
 
 HEADER_ENCODING = "content-encoding"
 BODY_METHODS = frozenset({"POST", "PUT", "PATCH"})
-_DROPPED = HOP_BY_HOP_HEADERS | {HEADER_CONTENT_LENGTH}
+_REPLACED = frozenset({HEADER_CONTENT_LENGTH})
 
 
 def encode_request(
@@ -21,13 +21,12 @@
 ) -> bytes:
     """Return the encoded request for `upstream`, with its body."""
     head = request.head
-    dropped = _DROPPED | {
+    replaced = _REPLACED | {
         header_names.timeout.lower(),
         header_names.expected_upstream.lower(),
     }
     lines = [f"{head.method} {head.target} HTTP/1.1"]
-    named = head.fields.get(HEADER_CONNECTION, [])
-    for name, value in filter_headers(head.headers, named, dropped):
+    for name, value in filter_headers(head.headers, replaced):
         lines.append(f"{name}: {value}")
     lines.append(f"{header_names.timeout}: {max(1, remaining_ms)}")
     lines.append(f"{header_names.expected_upstream}: {upstream.name}")
@@ -38,8 +37,7 @@
 
 def answer_headers(headers: Headers) -> Headers:
     """Return the headers of an upstream's answer to forward."""
-    named = [value for name, value in headers if name.lower() == HEADER_CONNECTION]
-    return filter_headers(headers, named, _DROPPED)
+    return filter_headers(headers, _REPLACED)
 
 
 def _has_body(head: RequestHead) -> bool:
--- a/packages/bilberry_router/src/bilberry_router/forward/headers.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/headers.py
@@ -13,13 +13,13 @@
 )
 from bilberry_core.ids import new_uuid7
 
-from ..http.const import HEADER_CONNECTION, HEADER_CONTENT_LENGTH, HOP_BY_HOP_HEADERS
-from ..http.head import RequestHead, connection_options
+from ..http.const import HEADER_CONTENT_LENGTH
+from ..http.head import RequestHead
+from ..http.header_filter import filter_headers
 from ..http.messages import Headers
 from .const import HEADER_FORWARDED_FOR, MAX_REQUEST_ID_LENGTH
 
 _REQUEST_ID_PATTERN = re.compile(r"[\x21-\x7e]+")
-_NEVER_HOP_BY_HOP = frozenset({"host", HEADER_CONTENT_LENGTH})
 _REPLACED_IN_REQUEST = frozenset(
     {
         HEADER_CONTENT_LENGTH,
@@ -38,14 +38,11 @@
         HEADER_UPSTREAM.lower(),
     }
 )
-_DROPPED_IN_REQUEST = HOP_BY_HOP_HEADERS | _REPLACED_IN_REQUEST
-_DROPPED_IN_RESPONSE = HOP_BY_HOP_HEADERS | _REPLACED_IN_RESPONSE
 
 
 def request_headers(head: RequestHead, client_ip: str, request_id: str) -> Headers:
     """Return the headers to forward, without length and timeout."""
-    connection_values = head.fields.get(HEADER_CONNECTION, [])
-    headers = filter_headers(head.headers, connection_values, _DROPPED_IN_REQUEST)
+    headers = filter_headers(head.headers, _REPLACED_IN_REQUEST)
     hops = head.fields.get(HEADER_FORWARDED_FOR.lower(), [])
     headers.append((HEADER_FORWARDED_FOR, ", ".join([*hops, client_ip])))
     headers.append((HEADER_REQUEST_ID, request_id))
@@ -54,10 +51,7 @@
 
 def response_headers(headers: Headers) -> Headers:
     """Return the headers of an upstream's response to forward."""
-    connection_values = [
-        value for name, value in headers if name.lower() == HEADER_CONNECTION
-    ]
-    return filter_headers(headers, connection_values, _DROPPED_IN_RESPONSE)
+    return filter_headers(headers, _REPLACED_IN_RESPONSE)
 
 
 def get_request_id(head: RequestHead, clock: Clock) -> str:
@@ -66,15 +60,3 @@
     if given is None or len(given) > MAX_REQUEST_ID_LENGTH:
         return new_uuid7(clock)
     return given if _REQUEST_ID_PATTERN.fullmatch(given) else new_uuid7(clock)
-
-
-def filter_headers(
-    headers: Headers, connection_values: list[str], dropped: frozenset[str]
-) -> Headers:
-    """Return the headers without `dropped` and those in `connection_values`.
-
-    `connection_values` holds the values of the Connection header.
-    """
-    if connection_values:
-        dropped = dropped | (connection_options(connection_values) - _NEVER_HOP_BY_HOP)
-    return [(name, value) for name, value in headers if name.lower() not in dropped]
--- a/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
@@ -41,7 +41,8 @@
     for a reset; `shed_next` is the number of next requests to reject; no
     request ends before `hold` is set; `build_leading_bytes` and
     `build_trailing_bytes` return bytes to send before and after an answer;
-    `extra_headers` are header lines added to all answers.
+    `extra_headers` are header lines added to all answers, and `load` is what
+    they say of its load in place of the truth.
     """
 
     script: list[bytes | None] = field(default_factory=list)
@@ -50,6 +51,7 @@
     build_leading_bytes: Callable[[ServedRequest], bytes] | None = None
     build_trailing_bytes: Callable[[ServedRequest], bytes] | None = None
     extra_headers: list[str] = field(default_factory=list)
+    load: str | None = None
 
 
 class UpstreamServer:
@@ -178,11 +180,17 @@
             "HTTP/1.1 200 OK",
             f"{self.header_names.request_id}: {served.request_id}",
             f"{self.header_names.digest}: digest-of-{served.request_id}",
-            f"{self.header_names.load}: {self.running},{self.waiting},{self.slots}",
-            *self.faults.extra_headers,
+            *self._status_lines(),
             f"Content-Length: {len(body)}",
         ]
-        return "\r\n".join(lines).encode() + END_OF_HEAD + body
+        return "\r\n".join(lines).encode("latin-1") + END_OF_HEAD + body
+
+    def _status_lines(self) -> list[str]:
+        """Return the header lines in which it tells its state."""
+        load = self.faults.load
+        if load is None:
+            load = f"{self.running},{self.waiting},{self.slots}"
+        return [f"{self.header_names.load}: {load}", *self.faults.extra_headers]
 
     def _is_full(self) -> bool:
         return self.running >= self.slots and self.waiting >= self.queue_limit
@@ -225,8 +233,7 @@
         lines = [
             "HTTP/1.1 503 Service Unavailable",
             f"{self.header_names.not_run}: 1",
-            f"{self.header_names.load}: {self.running},{self.waiting},{self.slots}",
-            *self.faults.extra_headers,
+            *self._status_lines(),
             "Content-Length: 0",
         ]
-        return "\r\n".join(lines).encode() + END_OF_HEAD
+        return "\r\n".join(lines).encode("latin-1") + END_OF_HEAD
--- a/tests/bilberry_router/entry/common.py
+++ b/tests/bilberry_router/entry/common.py
@@ -114,7 +114,7 @@
                 return None
             self.data += got
         head, _, self.data = self.data.partition(b"\r\n\r\n")
-        lines = head.decode().split("\r\n")
+        lines = head.decode("latin-1").split("\r\n")
         headers = {}
         for line in lines[1:]:
             name, _, value = line.partition(": ")
--- a/tests/bilberry_router/entry/test_rate_limit_log.py
+++ b/tests/bilberry_router/entry/test_rate_limit_log.py
@@ -37,7 +37,7 @@
         rig.upstreams[0].faults.extra_headers = [f"{NAMES.rate_limit}: {text}"]
         assert rig.ask("/read/x").status == 200
         assert rig.state.upstreams.by_name["u0"].rate_limit.per_s is None
-    assert messages(caplog, "Invalid rate limit of upstream u0")
+    assert messages(caplog, f"Invalid header of upstream u0: {NAMES.rate_limit}")
 
 
 def test_first_attempts_and_retries_at_a_limited_upstream_are_counted(caplog):
--- a/tests/bilberry_router/entry/test_retry_after.py
+++ b/tests/bilberry_router/entry/test_retry_after.py
@@ -62,7 +62,9 @@
         refuse_next(rig.upstreams[0], text)
         rig.ask("/read/x")
         assert rig.state.upstreams.by_name["u0"].refuses_until_ms == 0
-    assert any("Invalid Retry-After" in text for text in caplog.messages)
+    assert any(
+        "Invalid header of upstream u0: Retry-After" in text for text in caplog.messages
+    )
 
 
 def test_only_a_refusal_names_a_wait():
