Let upstreams name rate limits in the soak

A new kind of fault lets one name a limit to the end of the run; the check counts what it gets in the calm at the end. The list of checks in tests/soak/test_checks.py gets the new one.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -19,6 +19,9 @@
 RECOVERY_MS = 8_000
 RETRY_SPAN_MS = 10_000
 RETRY_FRACTION, RETRY_SLACK = 0.2, 60
+LIMIT_NOTICE_MS = 4_000
+LIMIT_SPAN_MS = 4_000
+LIMIT_TOLERANCE, LIMIT_SLACK = 1.5, 5
 MIN_RECOVERED_FRACTION = 0.9
 MIN_CALLS_AFTER = 10
 METHOD_ONCE = "POST"
@@ -114,6 +117,31 @@
     return broken
 
 
+@CHECKS.register("limit")
+def check_rate_limits(history: History) -> list[str]:
+    """Return upstreams that got more than their limit in the calm at the end.
+
+    The latest limit that an upstream named counts.
+    """
+    latest = {limit.upstream: limit for limit in history.rate_limits}
+    broken = []
+    for limit in latest.values():
+        from_ms = max(limit.from_ms, history.calm_from_ms) + LIMIT_NOTICE_MS
+        began = sorted(
+            run.began_ms
+            for run in history.runs
+            if run.upstream == limit.upstream and run.began_ms >= from_ms
+        )
+        allowed = LIMIT_TOLERANCE * limit.per_s * LIMIT_SPAN_MS / MS_PER_SECOND
+        most = _most_within(began, LIMIT_SPAN_MS)
+        if most > allowed + LIMIT_SLACK:
+            broken.append(
+                f"{limit.upstream} got {most} requests in {LIMIT_SPAN_MS} ms, "
+                f"limit {limit.per_s} requests/s"
+            )
+    return broken
+
+
 @CHECKS.register("retries")
 def check_retries(history: History) -> list[str]:
     """Return spans with more repeated runs than all nodes may make."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,8 +12,8 @@
 from bilberry_core.registry import Registry
 
 from .deployment import Deployment, SoakNode, SoakUpstream
-from .history import Departure
-from .messages import FaultOrder, UpstreamFault
+from .history import Departure, RateLimitTime
+from .messages import FaultOrder, LimitOrder, UpstreamFault
 from .proxy import LinkMode
 
 DRAIN_LIMIT_MS = 4_000
@@ -23,6 +23,7 @@
 SLOW_MS = 150
 FAULT_FRACTION = 0.3
 COLD_S = 3.0
+RATE_LIMITS_PER_S = (1.0, 3.0, 8.0)
 
 
 @dataclass(slots=True, frozen=True)
@@ -239,6 +240,20 @@
     act.deployment.write_config()
 
 
+@FAULTS.register("rate-limit")
+def limit_rate(act: Act) -> None:
+    """Let an upstream name a rate limit, to the end of the run."""
+    upstream = act.upstream()
+    if upstream is None:
+        return
+    act.record("rate-limit", planned=True)
+    per_s = act.rng.choice(RATE_LIMITS_PER_S)
+    upstream.process.order(LimitOrder(per_s))
+    now_ms = act.deployment.clock.now_ms()
+    limit = RateLimitTime(upstream.process.options.name, now_ms, per_s)
+    act.deployment.history.rate_limits.append(limit)
+
+
 @FAULTS.register("wrong-answers")
 def answer_wrongly(act: Act) -> None:
     """Let an upstream send answers twice, late, or not at all."""
--- a/soak/history.py
+++ b/soak/history.py
@@ -67,6 +67,15 @@
     max_per_s: float
 
 
+@dataclass(slots=True, frozen=True)
+class RateLimitTime:
+    """Represent the time from which an upstream names a rate limit."""
+
+    upstream: str
+    from_ms: int
+    per_s: float
+
+
 @dataclass(slots=True)
 class ConfigVersion:
     """Represent a configuration that the store accepted, with its own path.
@@ -103,6 +112,7 @@
     runs: list[Run] = field(default_factory=list)
     departures: list[Departure] = field(default_factory=list)
     cold_times: list[ColdTime] = field(default_factory=list)
+    rate_limits: list[RateLimitTime] = field(default_factory=list)
     versions: list[ConfigVersion] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     calm_from_ms: int = 0
--- a/soak/messages.py
+++ b/soak/messages.py
@@ -23,7 +23,13 @@
     work_ms: int
 
 
-class FaultOrder(msgspec.Struct, frozen=True):
+class LimitOrder(msgspec.Struct, frozen=True, tag=True):
+    """Order to name a rate limit in all answers."""
+
+    per_s: float
+
+
+class FaultOrder(msgspec.Struct, frozen=True, tag=True):
     """Order a fault on a fraction of the answers."""
 
     fault: UpstreamFault
--- a/soak/processes.py
+++ b/soak/processes.py
@@ -13,7 +13,7 @@
 
 from bilberry_platform.const import ENV_SETTINGS
 
-from .messages import FaultOrder, RunLine, UpstreamOptions
+from .messages import FaultOrder, LimitOrder, RunLine, UpstreamOptions
 
 END_TIMEOUT_S = 20
 ROOT = Path(__file__).resolve().parent.parent
@@ -102,8 +102,8 @@
             run = msgspec.json.decode(line, type=RunLine)
             self.on_run(self.options.name, run)
 
-    def order(self, order: FaultOrder) -> None:
-        """Order a fault."""
+    def order(self, order: FaultOrder | LimitOrder) -> None:
+        """Order a fault or a limit."""
         if self.popen is not None and self.popen.poll() is None:
             self.popen.stdin.write(msgspec.json.encode(order) + b"\n")
             self.popen.stdin.flush()
--- a/soak/upstream_process.py
+++ b/soak/upstream_process.py
@@ -14,7 +14,13 @@
 from bilberry_platform.const import HEADER_NAMES
 from bilberry_testing.machines.upstream import ServedRequest, UpstreamServer
 
-from .messages import FaultOrder, RunLine, UpstreamFault, UpstreamOptions
+from .messages import (
+    FaultOrder,
+    LimitOrder,
+    RunLine,
+    UpstreamFault,
+    UpstreamOptions,
+)
 
 
 class UpstreamProgram:
@@ -43,9 +49,17 @@
         sys.stdout.write(self.server.address + "\n")
         sys.stdout.flush()
         for line in FileObjectThread(sys.stdin.buffer):
-            self.order = msgspec.json.decode(line, type=FaultOrder)
+            self.obey(msgspec.json.decode(line, type=FaultOrder | LimitOrder))
         self.server.close()
 
+    def obey(self, order: FaultOrder | LimitOrder) -> None:
+        """Name a limit from now on, or replace the present fault."""
+        if isinstance(order, LimitOrder):
+            limit = f"{HEADER_NAMES.rate_limit}: {order.per_s}"
+            self.server.faults.extra_headers = [limit]
+        else:
+            self.order = order
+
     def tell(self, served: ServedRequest) -> None:
         """Write a line for a request that begins to run."""
         if self._is_hit(UpstreamFault.LOST):
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -18,3 +18,12 @@
     PlannedFault("upstream-pause", 7_220, 965, 1_109_633_622),
     PlannedFault("store-forgets", 7_518, 758, 2_663_601_089),
 )
+
+# Upstreams got several times the rate that they named.
+RATE_LIMITS_BESIDE_RESTARTS = (
+    PlannedFault("rate-limit", 500, 1_000, 1),
+    PlannedFault("rate-limit", 700, 1_000, 2),
+    PlannedFault("node-stop", 1_500, 1_000, 3),
+    PlannedFault("rate-limit", 2_500, 1_000, 4),
+    PlannedFault("node-kill", 3_500, 1_000, 5),
+)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -12,6 +12,7 @@
     Departure,
     Disturbance,
     History,
+    RateLimitTime,
     Run,
 )
 
@@ -180,9 +181,23 @@
         "asked",
         "leaving",
         "cold",
+        "limit",
         "retries",
         "config",
         "never-back",
         "cut",
         "recovery",
     }
+
+
+def test_more_requests_than_an_upstream_takes_are_found():
+    history = sound_history()
+    history.rate_limits = [RateLimitTime("i-0", 9_000, 1.0)]
+    assert names_of(history) == set()
+    for index in range(10):
+        call, run = answered(f"more{index}", 30_000 + index)
+        history.calls.append(call)
+        history.runs.append(run)
+    assert names_of(history) == {"limit"}
+    history.rate_limits.append(RateLimitTime("i-0", 12_000, 8.0))
+    assert names_of(history) == set()
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -4,7 +4,7 @@
 
 from soak.run import QUICK_SIZE, SoakRun
 
-from .regressions import LAST_UPSTREAM_OF_A_REGION
+from .regressions import LAST_UPSTREAM_OF_A_REGION, RATE_LIMITS_BESIDE_RESTARTS
 
 SEED = 1
 
@@ -22,3 +22,10 @@
     run = SoakRun(8, QUICK_SIZE, tmp_path)
     run.schedule = list(LAST_UPSTREAM_OF_A_REGION)
     assert broken_in(run) == []
+
+
+def test_upstreams_with_a_rate_limit_get_no_more_beside_restarts(tmp_path):
+    run = SoakRun(3, QUICK_SIZE, tmp_path)
+    run.schedule = list(RATE_LIMITS_BESIDE_RESTARTS)
+    assert broken_in(run) == []
+    assert run.history.rate_limits
