Show that a domain's summary carries limits and rates

What nodes of other failure domains know of a limit comes by summaries only. The test covers the newest limit of each upstream, the sum of the domain's rates without those of other domains, and the encoding. No change of the code.

--- a/tests/bilberry_fleet/discovery/test_nodes.py
+++ b/tests/bilberry_fleet/discovery/test_nodes.py
@@ -1,10 +1,13 @@
 """Test which peers count as alive, per run."""
 
+import msgspec
+
+from bilberry_balance.placement.rate_limit import RateLimitReport
 from bilberry_fleet.discovery.const import (
     OTHER_REGION_TIMEOUT_MS,
     SAME_DOMAIN_TIMEOUT_MS,
 )
-from bilberry_fleet.discovery.messages import Heartbeat, NodeInfo
+from bilberry_fleet.discovery.messages import DomainSummary, Heartbeat, NodeInfo
 from bilberry_fleet.discovery.nodes import PeerTable
 
 
@@ -66,3 +69,23 @@
     assert "n2" in peers.peers
     peers.on_stored_nodes([], SAME_DOMAIN_TIMEOUT_MS)
     assert "n2" not in peers.peers
+
+
+def test_a_summary_tells_the_newest_limits_and_the_sum_of_rates():
+    peers = PeerTable(info("me"))
+    near = beat("near", 1)
+    near.rate_limits = [RateLimitReport("u0", 3.0, 50), RateLimitReport("u1", 2.0, 10)]
+    near.send_rates = {"u0": 1.5}
+    peers.on_heartbeat(near, 0)
+    far = beat("far", 1, region="qc")
+    far.send_rates = {"u0": 9.0}
+    peers.on_heartbeat(far, 0)
+    own = beat("me", 1)
+    own.rate_limits = [RateLimitReport("u0", None, 400)]
+    own.send_rates = {"u0": 0.5, "u2": 1.0}
+    summary = peers.summarize(own, is_new=False, now_ms=100)
+    assert summary.rate_limits == near.rate_limits
+    assert summary.send_rates == {"u0": 2.0, "u2": 1.0}
+    data = msgspec.msgpack.encode(summary)
+    decoded = msgspec.msgpack.decode(data, type=Heartbeat | DomainSummary)
+    assert decoded.rate_limits == near.rate_limits
