--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -1,7 +1,6 @@
 """Play a fleet's requests through the real placement, on a manual clock."""
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TypeVar
 
@@ -16,6 +15,7 @@
 from bilberry_router.entry.const import EXPIRY_INTERVAL_MS, QUEUE_POLL_MS
 from bilberry_router.entry.placer import PlacementRequest
 
+from .placement_attempt import Grant, SimulatedAttempt
 from .placement_events import EventLoop
 from .placement_model import (
     Call,
@@ -36,40 +36,6 @@
 OBJECT_SKEW = 0.2
 
 
-@dataclass(slots=True)
-class Grant:
-    """Hold the slot granted to a queued request."""
-
-    value: Selection | None = None
-    on_set: Callable[[], None] | None = None
-
-    def ready(self) -> bool:
-        """Return whether the wait has ended."""
-        return self.value is not None
-
-    def set(self, selection: Selection | None) -> None:
-        """Grant the slot."""
-        self.value = selection
-        if self.on_set is not None:
-            self.on_set()
-
-
-@dataclass(slots=True)
-class SimulatedAttempt:
-    """Represent one attempt, which took `connect_ms` to connect.
-
-    One that waits at its upstream doesn't run there once it `has_ended`.
-    """
-
-    node: SimulatedNode
-    call: Call
-    selection: Selection
-    sent_at_ms: int
-    connect_ms: int = 0
-    is_working: bool = False
-    has_ended: bool = False
-
-
 @dataclass(slots=True)
 class PlacementSimulation:
     """Run one deployment's load; `calls` holds how each request ended."""
