--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,13 +1,20 @@
-"""A SIGHUP ends a node that is about to start."""
+"""An upstream that leaves while a node lists the entries stays in use.
+
+The list comes in pages. The watch begins at the revision of the last page,
+so that a removal of an entry of an earlier page is never seen.
+"""
 
 import asyncio
+import random
 import signal
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from standins import (
+    Client,
     Node,
     Platform,
     Record,
@@ -19,59 +26,106 @@
     run_case,
 )
 
-NODES = 2
-ROUNDS = 3
-RESTART_S = 1.2
-HUP_AFTER_S = 0.15
+PAGE_ITEMS = 500
+LINK_ONE_WAY_S = 0.055
+SERVICES = {"suivi": 354, "reserve": 159}
+LEAVING = 88
+LEAVE_EVERY_S = 0.045
+DIRECTORY_TTL_S = 2.0
+BOUNDS = {"drain_s": 4.0, "stability_window_s": 5.0, "grace_s": 10.0}
+SLOTS = 9
+WORK_S = 0.35
+REQUESTS_PER_S = 100.0
+LOAD_S = 12.0
+# For what a client sent before the bound.
+SLACK_S = 0.5
 
 
-async def start(node: Node, record: Record) -> bool:
-    """Start a node; return whether it ends by itself."""
-    node.start()
-    record.write(f"{node.name} starts")
-    if has_trouble():
-        await asyncio.sleep(HUP_AFTER_S)
-        text = node.settings.read_text()
-        old, new = "retry_budget_slack = 60", "retry_budget_slack = 62"
-        node.settings.write_text(text.replace(old, new))
-        node.send(signal.SIGHUP)
-        record.write(f"settings of {node.name} changed, SIGHUP")
-    code = await node.wait(RESTART_S)
-    if code is not None:
-        record.write(f"{node.name} ended by itself with {code}")
-        await asyncio.sleep(RESTART_S)
-    return code is not None
+async def leave(
+    platform: Platform, names: list[str], record: Record
+) -> dict[str, float]:
+    """Remove the entries one after the other; return when each was acked."""
+    removed_s = {}
+    for name in names:
+        platform.unregister(name)
+        removed_s[name] = record.now_s()
+        record.write(f"entry of {name} removed")
+        await asyncio.sleep(LEAVE_EVERY_S)
+    return removed_s
+
 
+async def send_requests(client: Client) -> int:
+    """Send requests at a steady rate; return how many got a success."""
+    tasks = []
+    begin_s = time.monotonic()
+    for index in range(int(LOAD_S * REQUESTS_PER_S)):
+        tasks.append(asyncio.create_task(client.request("GET", "/read/1")))
+        due_s = begin_s + index / REQUESTS_PER_S
+        await asyncio.sleep(max(0, due_s - time.monotonic()))
+    answers = await asyncio.gather(*tasks)
+    return sum(answer.status == 200 for answer in answers)
 
-async def count_ends(node: Node, record: Record) -> int:
-    """Start a node until it runs; return how often it ended by itself."""
-    ends = 0
-    while ends < ROUNDS and await start(node, record):
-        ends += 1
-    return ends
+
+def count_late(
+    upstreams: dict[str, Upstream], removed_s: dict[str, float], in_touch_s: float
+) -> dict[str, int]:
+    """Return how many runs came too late, by upstream."""
+    late = {}
+    for name, at_s in removed_s.items():
+        end_s = max(at_s + BOUNDS["drain_s"], in_touch_s)
+        count = sum(run.at_s > end_s + SLACK_S for run in upstreams[name].runs)
+        if count:
+            late[name] = count
+    return late
 
 
 async def case(record: Record, directory: Path) -> int:
-    """Return 1 if two processes end by themselves three times each."""
-    store = Store()
-    routes = [route("read", "/read/", "s", "idempotent")]
-    store.put("config", "main", manifest(routes, ["s"]))
-    upstreams = [Upstream("i-0", "s", "mtl-a", 4, 0.02, record)]
-    await Platform(store, upstreams).start()
-    nodes = [
-        Node(directory, f"front-mtl-a-{index}", "mtl-a", store.address)
-        for index in range(NODES)
+    """Return 1 if upstreams get requests long after they have left."""
+    store = Store(PAGE_ITEMS, LINK_ONE_WAY_S)
+    routes = [route("read", "/read/", "suivi", "idempotent")]
+    store.put("config", "main", manifest(routes, list(SERVICES)))
+    upstreams = [
+        Upstream(
+            f"i-{random.getrandbits(32):08x}", service, "mtl-a", SLOTS, WORK_S, record
+        )
+        for service, count in SERVICES.items()
+        for _ in range(count)
     ]
+    by_name = {upstream.name: upstream for upstream in upstreams}
+    platform = Platform(store, upstreams)
+    await platform.start()
+    node = Node(directory, "front-qc-a-1", "qc-a", store.address, **BOUNDS)
+    node.start()
     try:
-        ends = await asyncio.gather(*(count_ends(node, record) for node in nodes))
-        record.write(f"ends of their own: {ends}")
-        if not has_trouble():
-            ready = [await node.wait_ready() for node in nodes]
-            return 1 if any(ends) else 0 if all(ready) else 2
-        return 1 if min(ends) >= ROUNDS else 0
+        if not await node.wait_ready():
+            return 2
+        await asyncio.sleep(1)
+        suivi = [name for name in by_name if by_name[name].service == "suivi"]
+        if has_trouble():
+            node.send(signal.SIGTERM)
+            if await node.wait(BOUNDS["grace_s"]) is None:
+                return 2
+            node.start()
+            restarted_s = record.now_s()
+            record.write("node started again")
+        else:
+            restarted_s = 0.0
+        in_touch_s = restarted_s + BOUNDS["stability_window_s"]
+        removed_s = await leave(platform, suivi[:LEAVING], record)
+        if not await node.wait_ready():
+            return 2
+        record.write("node ready")
+        # Clients learn of the node once their directory answers expire.
+        await asyncio.sleep(DIRECTORY_TTL_S)
+        await asyncio.sleep(max(0, in_touch_s + SLACK_S - record.now_s()))
+        served = await send_requests(Client(node.ip, node.front_port, record))
+        late = count_late(by_name, removed_s, in_touch_s)
+        record.write(f"{served} served; late runs at upstreams that left: {late}")
+        if not has_trouble() and not served:
+            return 2
+        return 1 if late else 0
     finally:
-        for node in nodes:
-            node.close()
+        node.close()
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -24,6 +25,7 @@
 STORE_ANSWER_S = 0.004
 HEARTBEAT_S = 1.5
 HISTORY_EVENTS = 20_000
+MAX_FDS = 4_100
 READ_BYTES = 65_536
 ZONES = {"mtl-a": "mtl", "mtl-b": "mtl", "qc-a": "qc", "sag-a": "sag"}
 BOUNDS = {
@@ -316,6 +318,7 @@
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
     slot: asyncio.Semaphore | None = None
     is_leaving: bool = False
+    cold_until_s: float = 0.0
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -350,7 +353,8 @@
     def status(self, state: str = "ready") -> Any:
         """Return the status that it writes again and again."""
         self.sequence += 1
-        return {"state": state, "sequence": self.sequence, "cold_remaining_s": 0}
+        cold_s = max(0.0, self.cold_until_s - time.monotonic())
+        return {"state": state, "sequence": self.sequence, "cold_remaining_s": cold_s}
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -430,6 +434,11 @@
             )
         self.task = asyncio.create_task(self.beat())
 
+    def add(self, upstream: Upstream) -> None:
+        """Register an upstream that has just started."""
+        self.upstreams[upstream.name] = upstream
+        self.store.put("servers", upstream.name, upstream.entry(), upstream.status())
+
     async def beat(self) -> None:
         """Write the status of one upstream after the other."""
         while True:
@@ -441,7 +450,8 @@
                 await asyncio.sleep(max(0, due_s - time.monotonic()))
                 upstream = self.upstreams.get(name)
                 if upstream is not None:
-                    entry, status = upstream.entry(), upstream.status()
+                    state = "draining" if upstream.is_leaving else "ready"
+                    entry, status = upstream.entry(), upstream.status(state)
                     self.store.put("servers", name, entry, status)
 
     def unregister(self, name: str) -> Upstream:
@@ -452,6 +462,12 @@
         return upstream
 
 
+def limit_descriptors() -> None:
+    """Give a node's process the descriptors of a machine, at most."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(MAX_FDS, hard), hard))
+
+
 def free_port(ip: str) -> int:
     """Return a port that is free on an address."""
     with socket.socket() as probe:
@@ -505,7 +521,7 @@
             "cpu_share = 0.86",
             "cores = 1",
             "memory_mb = 300",
-            "max_fds = 4100",
+            f"max_fds = {MAX_FDS}",
             "[bounds]",
             *(f"{name} = {value}" for name, value in self.bounds.items()),
             "[platform]",
@@ -532,6 +548,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                preexec_fn=limit_descriptors,
             )
         self.started_s = time.monotonic()
 
@@ -665,6 +682,8 @@
 
 def run_case(case: Callable[[Record, Path], Awaitable[int]], script: str) -> None:
     """Run a case in a temporary folder; exit with its verdict."""
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     record = Record(Path(script).resolve().parent)
     with tempfile.TemporaryDirectory() as directory:
         code = asyncio.run(_run(case, record, Path(directory)))
