--- a/review/standins.py
+++ b/review/standins.py
@@ -454,6 +454,13 @@
                     entry, status = upstream.entry(), upstream.status(state)
                     self.store.put("servers", name, entry, status)
 
+    def drain(self, name: str) -> None:
+        """Report that an upstream drains."""
+        upstream = self.upstreams[name]
+        upstream.is_leaving = True
+        status = upstream.status("draining")
+        self.store.put("servers", name, upstream.entry(), status)
+
     def unregister(self, name: str) -> Upstream:
         """Remove an upstream's entry for good."""
         upstream = self.upstreams.pop(name)
@@ -623,13 +630,21 @@
         return f"a{self.count:06d}{random.getrandbits(24):06x}"
 
     def build(
-        self, method: str, path: str, request_id: str, body: bytes, close: bool
+        self,
+        method: str,
+        path: str,
+        request_id: str,
+        body: bytes,
+        close: bool,
+        key: str = "",
     ) -> bytes:
         """Return an encoded request."""
         head = f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
         head += f"X-Attempt-Id: {request_id}\r\nX-Deadline-Ms: 6000\r\n"
         if body:
             head += f"Content-Length: {len(body)}\r\n"
+        if key:
+            head += f"X-Affinity-Key: {key}\r\n"
         if close:
             head += "Connection: close\r\n"
         return head.encode() + b"\r\n" + body
@@ -641,10 +656,11 @@
         body: bytes = b"",
         timeout_s: float = 8,
         close: bool = True,
+        key: str = "",
     ) -> Answer:
         """Send one request and return its answer."""
         request_id = self.next_id()
-        data = self.build(method, path, request_id, body, close)
+        data = self.build(method, path, request_id, body, close, key)
         self.record.write(f"send {request_id} {method} {path} {len(body)} bytes")
         answer = await self.exchange(data, timeout_s)
         self.record.write(
