Tell a connection that the kernel gave up from a timeout of our own

Cause: the kernel's ETIMEDOUT is a TimeoutError in Python, like the timeout that is set on a socket. `except TimeoutError` around the reads took it for the latter and read again. The kernel tells of an error once: the next read returns no bytes, as after a regular close, and that completes an answer without a length. A send that fails uses the error up in the same way.

Ruled out: a reset that reads as a regular close. recv raises ECONNRESET for it, unless a send was told first; that way exists as well and is closed here.

Change: one function receives, for callers and upstreams, and one tells whose timeout has passed. A timeout of the kernel is a lost connection: at the entry, in the forwarding path, in control calls and for callers' connections. After a failed send the end of the connection completes no answer, and ETIMEDOUT of a send is a lost upstream, not a deadline, so that another may be tried.

--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -17,9 +17,10 @@
 from bilberry_resources.routing import CallerLimits
 
 from ..http.body import BodyError, BodyReader
-from ..http.connection import Connection, ConnectionLostError, ReadTimeoutError
+from ..http.connection import Connection, ConnectionLostError
 from ..http.const import BODILESS_STATUSES, END_OF_HEAD, END_OF_LINE, METHOD_HEAD
 from ..http.head import RequestError, RequestHead, parse_head
+from ..http.receive import ReadTimeoutError
 from .const import (
     BODY_TIMEOUT_MS,
     CLOSE_LINGER_MS,
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -7,7 +7,7 @@
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 
-from ..http.const import RECV_BYTES
+from ..http.receive import ReadTimeoutError, is_own_timeout
 from ..http.response_parser import ResponseParser
 from ..http.upstream_socket import IdleState, UpstreamSocket
 from .const import (
@@ -147,9 +147,9 @@
         try:
             connection.sock.sendall(attempt.data)
         except OSError as error:
-            # The upstream may have answered early, before the whole body.
-            if isinstance(error, TimeoutError):
+            if is_own_timeout(error):
                 return ExchangeOutcome(FailurePoint.DEADLINE_AFTER_SEND, parser)
+            # The upstream may have answered early, before the whole body.
             return self._receive(connection, attempt, parser, fully_sent=False)
         return self._receive(connection, attempt, parser, fully_sent=True)
 
@@ -162,7 +162,9 @@
     ) -> ExchangeOutcome:
         received = ReceivedBytes(self)
         try:
-            outcome = self._receive_answer(connection, attempt, parser, received)
+            outcome = self._receive_answer(
+                connection, attempt, parser, received, fully_sent
+            )
             outcome.received_bytes = received.count
         finally:
             received.release()
@@ -176,20 +178,22 @@
         attempt: Attempt,
         parser: ResponseParser,
         received: "ReceivedBytes",
+        fully_sent: bool,
     ) -> ExchangeOutcome:
         while not parser.is_complete:
             remaining_ms = attempt.deadline_ms - self.clock.now_ms()
             if remaining_ms <= 0:
                 return ExchangeOutcome(FailurePoint.DEADLINE_AFTER_SEND, parser)
-            connection.set_timeout(remaining_ms)
             try:
-                data = connection.sock.recv(RECV_BYTES)
-            except TimeoutError:
+                data = connection.receive(remaining_ms)
+            except ReadTimeoutError:
                 continue
             except OSError as error:
                 return self._connection_lost(attempt, parser, str(error))
             if not data:
-                parser.feed_eof()
+                # After a failed send, it may be a reset that ends the answer.
+                if fully_sent:
+                    parser.feed_eof()
                 if parser.is_complete and not attempt.cancelled:
                     break
                 return self._connection_lost(attempt, parser, "closed")
--- a/packages/bilberry_router/src/bilberry_router/forward/control.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/control.py
@@ -5,7 +5,7 @@
 from bilberry_core.clock import Clock
 from bilberry_core.outcome import Failure, Result, Success
 
-from ..http.const import RECV_BYTES
+from ..http.receive import ReadTimeoutError
 from ..http.response_parser import ResponseParser
 from .transport import EndpointConnections, UpstreamConnection
 
@@ -93,11 +93,10 @@
             connection.set_timeout(timeout_ms)
             connection.sock.sendall(request)
             while not parser.is_complete and not parser.error:
-                connection.set_timeout(ends_at_ms - self.clock.now_ms())
-                data = connection.sock.recv(RECV_BYTES)
+                data = connection.receive(ends_at_ms - self.clock.now_ms())
                 if not data:
                     return False
                 parser.feed(data)
-        except OSError:
+        except (OSError, ReadTimeoutError):
             return False
         return parser.is_complete
--- a/packages/bilberry_router/src/bilberry_router/forward/exchange.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/exchange.py
@@ -10,7 +10,8 @@
 from bilberry_core.const import HEADER_REQUEST_ID, HEADER_REQUEST_TIMEOUT
 
 from ..http.body import BodyError
-from ..http.const import HEADER_CONTENT_LENGTH, LAST_CHUNK, RECV_BYTES
+from ..http.const import HEADER_CONTENT_LENGTH, LAST_CHUNK
+from ..http.receive import ReadTimeoutError
 from ..http.response_parser import ResponseParser
 from .const import RESPONSE_BUFFER_BYTES
 from .request import ForwardRequest
@@ -131,10 +132,9 @@
         left_ms = self.time_left_ms()
         if left_ms <= 0:
             return self.deadline_failure_point()
-        self.connection.set_timeout(left_ms)
         try:
-            data = self.connection.sock.recv(RECV_BYTES)
-        except TimeoutError:
+            data = self.connection.receive(left_ms)
+        except ReadTimeoutError:
             return None
         except OSError:
             data = b""
--- a/packages/bilberry_router/src/bilberry_router/http/body.py
+++ b/packages/bilberry_router/src/bilberry_router/http/body.py
@@ -4,7 +4,7 @@
 
 from bilberry_core.const import MS_PER_SECOND
 
-from .connection import Connection, ConnectionLostError, ReadTimeoutError
+from .connection import Connection, ConnectionLostError
 from .const import (
     CONTINUE,
     END_OF_LINE,
@@ -15,6 +15,7 @@
     RECV_BYTES,
 )
 from .head import RequestHead
+from .receive import ReadTimeoutError
 
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
 _TRAILER = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*")
--- a/packages/bilberry_router/src/bilberry_router/http/connection.py
+++ b/packages/bilberry_router/src/bilberry_router/http/connection.py
@@ -11,6 +11,7 @@
 from bilberry_core.const import MS_PER_SECOND
 
 from .const import MAX_LINGER_BYTES, RECV_BYTES
+from .receive import ReadTimeoutError, receive
 
 _READ_EVENT = 1
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -20,10 +21,6 @@
     """Raised when the caller has closed or reset the connection."""
 
 
-class ReadTimeoutError(Exception):
-    """Raised when the caller sends nothing within the timeout."""
-
-
 class Connection:
     """Represent a caller's connection: buffered reads, close detection."""
 
@@ -43,10 +40,9 @@
         Raise ConnectionLostError if the caller has closed the connection,
         ReadTimeoutError if nothing arrives within `timeout_ms`.
         """
-        self.sock.settimeout(max(timeout_ms, 1) / MS_PER_SECOND)
         try:
-            data = self.sock.recv(RECV_BYTES)
-        except (TimeoutError, Timeout) as error:
+            data = receive(self.sock, timeout_ms)
+        except Timeout as error:
             raise ReadTimeoutError from error
         except OSError as error:
             raise ConnectionLostError from error
--- a/packages/bilberry_router/src/bilberry_router/http/handler.py
+++ b/packages/bilberry_router/src/bilberry_router/http/handler.py
@@ -11,7 +11,7 @@
 from bilberry_core.outcome import Failure, Result
 
 from .body import BodyError, BodyReader
-from .connection import Connection, ConnectionLostError, ReadTimeoutError
+from .connection import Connection, ConnectionLostError
 from .const import (
     BODILESS_STATUSES,
     DEFAULT_LINGER_MS,
@@ -27,6 +27,7 @@
 )
 from .head import RequestError, RequestHead, parse_head
 from .messages import STATUS_LINES, Headers, Response, problem_response
+from .receive import ReadTimeoutError
 
 _LOGGER = logging.getLogger(__name__)
 
--- a/packages/bilberry_router/src/bilberry_router/http/upstream_socket.py
+++ b/packages/bilberry_router/src/bilberry_router/http/upstream_socket.py
@@ -9,6 +9,8 @@
 from bilberry_core.address import split_address
 from bilberry_core.const import MS_PER_SECOND
 
+from .receive import receive
+
 TCP_KEEPALIVE_INTERVAL_S = 1
 TCP_KEEPALIVE_PROBES = 2
 
@@ -53,9 +55,17 @@
         self.sock.setsockopt(tcp, socket.TCP_KEEPCNT, TCP_KEEPALIVE_PROBES)
 
     def set_timeout(self, timeout_ms: int) -> None:
-        """Set the timeout of further reads and writes."""
+        """Set the timeout of further writes."""
         self.sock.settimeout(max(timeout_ms, 1) / MS_PER_SECOND)
 
+    def receive(self, timeout_ms: int) -> bytes:
+        """Return the next bytes, none if the upstream has closed.
+
+        Raise ReadTimeoutError if nothing arrives within `timeout_ms`, OSError
+        if the connection is lost.
+        """
+        return receive(self.sock, timeout_ms)
+
     def idle_state(self) -> IdleState:
         """Return whether the upstream has closed or sent data."""
         try:
