Bring the pages of a list to one revision before using it

What callers saw: requests at upstreams that had left more than drain_s before (DRAIN), sent by a node that started while they left.

Cause: a long list comes in pages, each as of its own time. The client gave all of them the revision of the last one, and the watch began there. What changed in an earlier page's part between the two calls was in neither: a removed entry stayed, as well as a missed "draining", until the next list.

Ruled out: a stale watch, as the change is older than the revision that the watch begins at, so that no later read tells of it.

Change: a list carries the revisions of its pages. If they differ, the changes between them are read exactly, before the list is used: a listener gets one state, never a mix. A replayed change that is older than what a page showed is dropped. If the history is gone, all is listed again. The same goes for each kind of object, at a start and after a lost history. While a feed lists, no exact read is begun beside it, as one that is told of the lost history would begin the list anew.

A list in one page costs the one call that it did; one in pages costs one exact read more.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -28,6 +28,7 @@
     STALE_WATCH_WAIT_MS,
     WATCH_WAIT_MS,
 )
+from .listing import read_snapshot
 from .source import Changes, ObjectSource, Snapshot
 from .store_breaker import StoreBreaker
 
@@ -70,8 +71,9 @@
     the latest changes. Peers tell the revision of the latest change that
     they know; a feed that stays behind it makes one exact read. After changes
     that only renew entries it pauses until peers know more. Lists are
-    always exact, so that nothing of the past returns with a start. While the
-    store fails, the node's feeds share one probe of it.
+    always exact, so that nothing of the past returns with a start, and
+    `revision` is 0 until one is complete. While the store fails, the node's
+    feeds share one probe of it.
     """
 
     __slots__ = (
@@ -143,10 +145,11 @@
 
     def list_and_follow(self) -> None:
         """List the kind, and watch it until it must be listed again."""
+        self.revision = 0
         is_probe = self.wait_for_store()
-        listed = self.source.list(self.kind)
+        listed = read_snapshot(self.kind, self.source)
         if isinstance(listed, Failure):
-            self.handle_failure(listed.failure(), is_probe)
+            self.handle_list_failure(listed.failure(), is_probe)
             return
         snapshot = listed.unwrap()
         self.record_answer()
@@ -271,6 +274,14 @@
         self.breaker.on_answer()
         _LOGGER.info("discovery: The store dropped the history of %s.", self.kind)
 
+    def handle_list_failure(self, error: StoreError, is_probe: bool) -> None:
+        """Record that the kind could not be listed, and wait."""
+        if error.kind is not StoreErrorKind.GONE:
+            self.handle_failure(error, is_probe)
+            return
+        self.handle_gone()
+        gevent.sleep(self.backoff.next_delay_ms() / MS_PER_SECOND)
+
     def handle_failure(self, error: StoreError, is_probe: bool) -> None:
         """Record a failed call; wait if only this kind can't be read."""
         self.record_failure(error, is_probe)
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/listing.py
@@ -0,0 +1,32 @@
+"""Read all objects of a kind as of one revision of the store."""
+
+from bilberry_core.outcome import Failure, Result, Success
+from bilberry_store.errors import StoreError, StoreErrorKind
+
+from .const import CATCH_UP_WAIT_MS
+from .source import ObjectSource, Snapshot
+
+
+def read_snapshot(kind: str, source: ObjectSource) -> Result[Snapshot, StoreError]:
+    """Return all objects of a kind, all as of the same revision.
+
+    A long list comes in pages, each as of its own time. What changed between
+    the first and the last one is read as well, exactly.
+    """
+    listed = source.list(kind)
+    if isinstance(listed, Failure):
+        return listed
+    snapshot = listed.unwrap()
+    while not snapshot.is_consistent:
+        read = source.watch(kind, snapshot.revision, CATCH_UP_WAIT_MS, False)
+        if isinstance(read, Failure):
+            return read
+        changes = read.unwrap()
+        if changes.revision > snapshot.revision:
+            snapshot = snapshot.with_changes(changes)
+        elif changes.changes:
+            reason = f"changes without progress at revision {snapshot.revision}"
+            return Failure(StoreError(kind=StoreErrorKind.REFUSED, reason=reason))
+        else:
+            break
+    return Success(snapshot)
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/source.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/source.py
@@ -24,27 +24,56 @@
     deleted: bool
 
 
+@dataclass(slots=True)
+class Changes:
+    """Represent the changes up to a revision of the store."""
+
+    changes: list[Change] = field(default_factory=list)
+    revision: int = 0
+
+
 @dataclass(slots=True)
 class Snapshot:
-    """Represent all objects of a kind at one revision of the store."""
+    """Represent all objects of a kind, with all changes up to `revision`.
+
+    Of a list in pages, some may be as of later revisions, up to
+    `latest_revision`.
+    """
 
     records: list[Record]
     revision: int
+    latest_revision: int = 0
 
+    @property
+    def is_consistent(self) -> bool:
+        """Return whether all records are as of one revision."""
+        return self.latest_revision <= self.revision
 
-@dataclass(slots=True)
-class Changes:
-    """Represent the changes up to a revision of the store."""
+    def with_changes(self, changes: Changes) -> "Snapshot":
+        """Return the objects after all changes up to a later revision.
 
-    changes: list[Change] = field(default_factory=list)
-    revision: int = 0
+        A change that is older than its record was made before the record's
+        page was read. A deletion may bear the revision of the record that it
+        deletes.
+        """
+        by_name = {record.name: record for record in self.records}
+        for change in changes.changes:
+            record = change.record
+            known = by_name.get(record.name)
+            if known is not None and record.revision < known.revision:
+                continue
+            if change.deleted:
+                by_name.pop(record.name, None)
+            else:
+                by_name[record.name] = record
+        return Snapshot(list(by_name.values()), changes.revision, self.latest_revision)
 
 
 class ObjectSource(Protocol):
     """Read objects of the platform's store."""
 
     def list(self, kind: str) -> Result[Snapshot, StoreError]:
-        """Return all objects of a kind."""
+        """Return all objects of a kind, which may come in pages."""
         ...
 
     def watch(
--- a/tests/bilberry_platform/test_discovery.py
+++ b/tests/bilberry_platform/test_discovery.py
@@ -11,6 +11,7 @@
 from bilberry_platform.store import StoreClient
 from bilberry_store.errors import StoreErrorKind
 from bilberry_testing.machines.objects import config_spec, upstream_entry
+from bilberry_testing.machines.store import StoreServer
 
 from ..bilberry_router.entry.common import eventually
 from .common import Deployment, fetch
@@ -215,3 +216,40 @@
         assert served == [200] * 20
         assert all(run.request_id.startswith("a") for run in local.served_requests)
         assert len(distant.served_requests) >= 20
+
+
+@pytest.fixture
+def leaving_between_pages(monkeypatch):
+    """Let `i-0` leave before the second page of each list of upstreams."""
+    list_page = StoreServer._list
+
+    def leave_then_list(store, kind, after):
+        if kind == "servers" and after:
+            store.table.delete("servers", "i-0")
+        return list_page(store, kind, after)
+
+    monkeypatch.setattr(StoreServer, "_list", leave_then_list)
+
+
+def test_an_upstream_that_leaves_between_two_pages_of_a_start_is_not_used(
+    leaving_between_pages,
+):
+    """Guard against an entry of an earlier page that stays for good."""
+    with Deployment(upstreams=4) as deployment:
+        deployment.store.faults.page_items = 2
+        node = deployment.node(ready=False)
+        eventually(lambda: node.upstream_listener.has_snapshot)
+        assert upstream_names(node) == ["i-1", "i-2", "i-3"]
+
+
+def test_an_upstream_that_leaves_between_two_pages_of_a_later_list_is_not_used(
+    leaving_between_pages,
+):
+    """Guard against the same after the store has lost its history."""
+    with Deployment(upstreams=4) as deployment:
+        node = deployment.node()
+        deployment.store.faults.page_items = 2
+        deployment.remove("servers", "i-3")
+        deployment.store.table.drop_history()
+        deployment.store.notify()
+        eventually(lambda: upstream_names(node) == ["i-1", "i-2"])
