Keep the body of an answer as bytes, not as an object for each chunk

What callers would see: an upstream that sends tiny chunks without end takes a node over its memory; it is killed, and the requests of its other callers end with it (LOST).

Cause: answers are bounded in the bytes that arrive (16 MB each, 32 MB together), but each chunk was kept as an object of its own, and a chunk of two bytes costs seven on the wire and over forty in memory.

Ruled out: heads and interim answers, which are bounded together, and bodies of large chunks, which are bounded by their bytes.

Change: the parser appends to one buffer.

--- a/packages/bilberry_router/src/bilberry_router/forward/keyed/requests.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/keyed/requests.py
@@ -201,7 +201,7 @@
     parser = attempt.exchange.parser
     _, headers = response_head(attempt)
     kept = tuple((n, v) for n, v in headers if n.lower() not in _UNSTORED_HEADERS)
-    return StoredResponse(parser.status, kept, b"".join(parser.body_parts))
+    return StoredResponse(parser.status, kept, bytes(parser.body))
 
 
 def decision_response(request: ForwardRequest, reply: BeginReply) -> Response:
--- a/packages/bilberry_router/src/bilberry_router/forward/responses.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/responses.py
@@ -89,7 +89,7 @@
     headers = response_headers(parser.headers)
     length = parser.first(HEADER_CONTENT_LENGTH)
     if length is None and parser.is_complete and request.method != METHOD_HEAD:
-        length = str(sum(len(part) for part in parser.body_parts))
+        length = str(len(parser.body))
     if length is not None:
         headers.append(("Content-Length", length))
     headers += [
--- a/packages/bilberry_router/src/bilberry_router/http/response_parser.py
+++ b/packages/bilberry_router/src/bilberry_router/http/response_parser.py
@@ -53,7 +53,7 @@
         self.headers: list[tuple[str, str]] = []
         self.status = 0
         self.reason = ""
-        self.body_parts: list[bytes] = []
+        self.body = bytearray()
         self.is_head_complete = False
         self.is_complete = False
         self.has_known_length = True
@@ -102,8 +102,8 @@
 
     def pop_body(self) -> bytes:
         """Return the body bytes received since the last call."""
-        data = b"".join(self.body_parts)
-        self.body_parts.clear()
+        data = bytes(self.body)
+        self.body.clear()
         return data
 
     def values(self, name: str) -> list[str]:
@@ -174,7 +174,7 @@
             if self.skipped_body_bytes > MAX_SKIPPED_BODY_BYTES:
                 raise ResponseError("answers to other requests are too large")
         else:
-            self.body_parts.append(data)
+            self.body += data
 
     def on_message_complete(self) -> None:
         """Finish a response, or skip it; called by the parser."""
@@ -191,7 +191,7 @@
 
     def _reset(self) -> None:
         self.headers.clear()
-        self.body_parts.clear()
+        self.body.clear()
         self.reason = ""
         self.is_head_complete = False
         self.is_skipping = False
--- a/tests/bilberry_router/http/test_response_parser.py
+++ b/tests/bilberry_router/http/test_response_parser.py
@@ -1,5 +1,7 @@
 """The parser never completes an answer that the upstream didn't send."""
 
+import tracemalloc
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -46,7 +48,7 @@
 
 
 def stored_bytes(parser):
-    return sum(len(part) for part in parser.body_parts) + sum(
+    return len(parser.body) + sum(
         len(name) + len(value) for name, value in parser.headers
     )
 
@@ -198,3 +200,18 @@
         start += size
     assert parser.is_complete
     assert received == body
+
+
+def test_a_body_in_tiny_chunks_takes_no_more_memory_than_its_bytes():
+    """Guard against a kept object for each chunk of an endless answer."""
+    parser = ResponseParser("GET")
+    parser.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    data = b"2\r\nab\r\n" * 9_000
+    tracemalloc.start()
+    for _ in range(16):
+        parser.feed(data)
+    held_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert not parser.error
+    assert held_bytes < 16 * len(data)
+    assert len(parser.pop_body()) == 16 * 9_000 * 2
