Bound the responses to health, load and key calls

What callers would see: an upstream whose health or load response has no end fills the node's memory until the call's timeout, 1 s for each upstream and poll; another node's reply about a key until the request's deadline. The node is killed, and the requests of other callers end with it (LOST).

Cause: control calls read a response until it is complete. Its head was bounded, its body by time only.

Change: a control response has 1 MB at most, which a stored response of another node stays well below.

--- a/packages/bilberry_router/src/bilberry_router/forward/control.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/control.py
@@ -7,6 +7,7 @@
 
 from ..http.receive import ReadTimeoutError
 from ..http.response_parser import ResponseParser
+from .const import MAX_CONTROL_RESPONSE_BYTES
 from .transport import EndpointConnections, UpstreamConnection
 
 STATUS_OK = 200
@@ -65,7 +66,7 @@
             else:
                 self.connections.discard(connection)
         if not is_complete:
-            return Failure(ControlError("incomplete response"))
+            return Failure(ControlError(parser.error or "incomplete response"))
         if parser.status != STATUS_OK:
             return Failure(ControlError(f"status {parser.status}"))
         return Success(parser.pop_body())
@@ -89,6 +90,7 @@
     ) -> bool:
         """Send a request; return whether its response completed in time."""
         ends_at_ms = self.clock.now_ms() + timeout_ms
+        received_bytes = 0
         try:
             connection.set_timeout(timeout_ms)
             connection.sock.sendall(request)
@@ -96,6 +98,10 @@
                 data = connection.receive(ends_at_ms - self.clock.now_ms())
                 if not data:
                     return False
+                received_bytes += len(data)
+                if received_bytes > MAX_CONTROL_RESPONSE_BYTES:
+                    parser.error = "the response is too large"
+                    return False
                 parser.feed(data)
         except (OSError, ReadTimeoutError):
             return False
