Give up a response of the store or a peer that has too many headers

What callers would see: a store or node that sends header lines without end takes a node over its memory (LOST), or ends bilberryctl.

Cause: a response is cut after 16 MB, whatever its bytes are. Each header line was kept as several objects, so that short lines take ten times their bytes.

The new test fails before the change.

Change: a response has 200 header lines at most, interim ones included.

--- a/packages/bilberry_store/src/bilberry_store/byte_counter.py
+++ b/packages/bilberry_store/src/bilberry_store/byte_counter.py
@@ -17,7 +17,7 @@
 
 
 class ResponseTooLargeError(OSError):
-    """Raised when a response exceeds `MAX_RESPONSE_BYTES`."""
+    """Raised when a response exceeds a limit of size."""
 
 
 class CountingSocket(gevent.socket.socket):
--- a/packages/bilberry_store/src/bilberry_store/http.py
+++ b/packages/bilberry_store/src/bilberry_store/http.py
@@ -15,6 +15,7 @@
 import msgspec
 from geventhttpclient.client import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
+from geventhttpclient.header import Headers
 from geventhttpclient.response import HTTPParseError
 
 from bilberry_core.address import split_address
@@ -26,11 +27,12 @@
     decompress,
 )
 
-from .byte_counter import ByteCounter, CountingSocket
+from .byte_counter import ByteCounter, CountingSocket, ResponseTooLargeError
 from .const import (
     DEFAULT_CALL_TIMEOUT_MS,
     DEFAULT_CONNECT_TIMEOUT_MS,
     DEFAULT_MAX_CONNECTIONS,
+    MAX_RESPONSE_HEADERS,
 )
 
 MAX_DECOMPRESSED_BYTES = 16_000_000
@@ -59,6 +61,22 @@
     not_run: bool = False
 
 
+class LimitedHeaders(Headers):
+    """Hold the headers of one response, at most MAX_RESPONSE_HEADERS lines.
+
+    Each line takes far more memory than it has bytes.
+    """
+
+    line_count = 0
+
+    def add(self, field: str, value: Any) -> None:
+        """Add one line, or raise ResponseTooLargeError."""
+        self.line_count += 1
+        if self.line_count > MAX_RESPONSE_HEADERS:
+            raise ResponseTooLargeError(f"over {MAX_RESPONSE_HEADERS} headers")
+        super().add(field, value)
+
+
 class NoDelayPool(ConnectionPool):
     """Open connections with Nagle's algorithm disabled."""
 
@@ -162,7 +180,7 @@
         self, pool_type: type[NoDelayPool], max_connections: int, timeout_ms: int
     ) -> HTTPClient:
         """Return an HTTP client with a pool of the given type."""
-        client = HTTPClient(self.host, self.port)
+        client = HTTPClient(self.host, self.port, headers_type=LimitedHeaders)
         client.default_headers.clear()
         pool = pool_type(
             self.host,
--- a/tests/bilberry_store/test_endless_responses.py
+++ b/tests/bilberry_store/test_endless_responses.py
@@ -16,11 +16,8 @@
 }
 
 
-@pytest.mark.parametrize("name", sorted(ENDLESS))
-def test_a_response_without_end_is_a_lost_one(name, monkeypatch):
-    limit = 1_000_000
-    monkeypatch.setattr("bilberry_store.byte_counter.MAX_RESPONSE_BYTES", limit)
-    begin, more = ENDLESS[name]
+def call_endless_server(begin, more):
+    """Return a failed call's error and the bytes that it received."""
     ended = []
 
     def serve(sock, address):
@@ -39,11 +36,27 @@
     session = HttpSession(f"127.0.0.1:{server.server_port}", byte_counter=counter)
     called = session.write("PUT", "/objects/a", timeout_ms=20_000)
     assert isinstance(called, Failure)
-    assert called.failure().failure is CallFailure.MAYBE_SENT
     with gevent.Timeout(5, AssertionError("still connected")):
         while not ended:
             gevent.sleep(0.005)
-    assert counter.received_bytes < limit + 100_000
-    assert limit < MAX_RESPONSE_BYTES
     session.close()
     server.stop(timeout=0)
+    return called.failure(), counter.received_bytes
+
+
+@pytest.mark.parametrize("name", sorted(ENDLESS))
+def test_a_response_without_end_is_a_lost_one(name, monkeypatch):
+    limit = 1_000_000
+    monkeypatch.setattr("bilberry_store.byte_counter.MAX_RESPONSE_BYTES", limit)
+    error, received_bytes = call_endless_server(*ENDLESS[name])
+    assert error.failure is CallFailure.MAYBE_SENT
+    assert received_bytes < limit + 100_000
+    assert limit < MAX_RESPONSE_BYTES
+
+
+def test_short_header_lines_without_end_are_given_up_early():
+    """Guard against lines that take ten times their bytes in memory."""
+    error, received_bytes = call_endless_server(*ENDLESS["header lines"])
+    assert error.failure is CallFailure.MAYBE_SENT
+    assert "headers" in error.reason
+    assert received_bytes < 100_000
