Give up a list of the store whose pages have no end

What callers would see: a store that keeps saying that more follows fills the memory of each node that starts or has lost its history (LOST, for the callers of a running node).

Cause: each page is bounded, their number wasn't.

The new test fails before.

Change: the pages of one list have 32 MB at most together. Beyond it the list fails like an unreadable one, and the node keeps what it knows.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -10,6 +10,8 @@
 CATCH_UP_WAIT_MS = 1
 WATCH_MARGIN_MS = 700
 LIST_TIMEOUT_MS = 1_500
+# Of all pages of a list.
+MAX_LIST_BYTES = 32_000_000
 WRITE_TIMEOUT_MS = 1_500
 BATCH_PAUSE_MS = 300
 # Further pause after changes that only renew entries, unless peers know more.
--- a/tests/bilberry_platform/test_discovery.py
+++ b/tests/bilberry_platform/test_discovery.py
@@ -116,6 +116,23 @@
         client.close()
 
 
+def test_a_list_without_end_is_given_up(monkeypatch):
+    """Guard against a store whose pages go on until the memory is full."""
+    with Deployment() as deployment:
+        list_page = StoreServer._list
+        monkeypatch.setattr(
+            StoreServer, "_list", lambda store, kind, after: list_page(store, kind, "")
+        )
+        monkeypatch.setattr("bilberry_platform.store.MAX_LIST_BYTES", 100_000)
+        deployment.store.faults.page_items = 1
+        client = StoreClient(deployment.store.listener.address, deployment.clock)
+        with gevent.Timeout(20, AssertionError("not given up")):
+            failed = client.list("servers")
+        assert isinstance(failed, Failure)
+        assert "over 100000 bytes" in failed.failure().reason
+        client.close()
+
+
 @pytest.mark.parametrize(
     ("status", "kind"),
     [
