Give back the place of a caller that resets before its last answer

Cause: when the write of an answer failed, the answer stayed in the queue and nothing woke the connection's greenlet, which waits for the queue to empty after "Connection: close", before a request that isn't idempotent, at 16 pipelined requests and before a refusal. It waited for good, with its place and its answers.

Change: an answer leaves the queue whether or not it could be written, and the waiting greenlet is woken. A connection that was reset is no longer watched.

--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -224,18 +224,22 @@
         self.is_writing = True
         try:
             while self.pending and self.pending[0].answer is not None:
-                exchange = self.pending[0]
                 if not self.is_closing:
-                    self.write(exchange)
+                    self.write_or_abort(self.pending[0])
                 self.pending.popleft()
                 self.answer_ready.set()
+        finally:
+            self.is_writing = False
+
+    def write_or_abort(self, exchange: Exchange) -> None:
+        """Write one answer; if that fails, reset the connection."""
+        try:
+            self.write(exchange)
         except OSError:
             self.is_closing = True
             self.notify_requests()
             self.connection.abort()
             self.connection.sock.close()
-        finally:
-            self.is_writing = False
 
     def write(self, exchange: Exchange) -> None:
         """Write one answer, with `Connection: close` on the last."""
@@ -274,7 +278,8 @@
         """Wait until at most `max_pending` requests are unanswered."""
         if len(self.pending) <= max_pending:
             return
-        self.connection.watch(self.notify_requests)
+        if not self.connection.is_aborted:
+            self.connection.watch(self.notify_requests)
         while len(self.pending) > max_pending:
             self.answer_ready.clear()
             self.answer_ready.wait()
--- a/tests/bilberry_router/entry/test_caller.py
+++ b/tests/bilberry_router/entry/test_caller.py
@@ -1,8 +1,10 @@
 """A caller's connection keeps order and limits, and drains gracefully."""
 
 import gevent
+import pytest
 
 from bilberry_resources.routing import CallerLimits
+from bilberry_router.entry.const import MAX_PIPELINED
 
 from .common import Rig, config, eventually
 
@@ -107,3 +109,41 @@
         answer = fresh.answer()
         assert (answer.status, answer.headers["connection"]) == (200, "close")
         assert rig.listener.wait_until_idle(1_000)
+
+
+CLOSE = ("Connection: close",)
+
+
+def send_closing(client):
+    client.send("/read/x", headers=CLOSE)
+
+
+def send_in_turn(client):
+    client.send("/read/x", request_id="r1")
+    client.send("/book/x", request_id="r2", method="POST", body=b"order")
+
+
+def send_malformed(client):
+    client.send("/read/x")
+    client.sock.sendall(b"malformed\r\n\r\n")
+
+
+def send_too_many(client):
+    for index in range(MAX_PIPELINED + 1):
+        client.send("/read/x", request_id=f"r{index}")
+
+
+@pytest.mark.parametrize(
+    "send", [send_closing, send_in_turn, send_malformed, send_too_many]
+)
+def test_a_caller_that_resets_before_its_last_answer_gives_its_place_back(send):
+    """Guard against connections that wait for an answer never written."""
+    with Rig(count=1, slots=MAX_PIPELINED + 1) as rig:
+        release = rig.hold()
+        client = rig.client()
+        send(client)
+        eventually(lambda: rig.ran)
+        gevent.sleep(0.02)
+        client.reset()
+        release.set()
+        eventually(lambda: not rig.listener.connections)
