Count answers until their callers have read them

What callers would see: upstreams that send much, or without end, fill the memory of a node through callers that read slowly or wait behind an earlier answer; the node is killed, and its other callers' requests end with it (LOST).

Cause: the bytes of answers were counted while they are received. A finished answer counted for nothing, though it stays until it is written, up to 5 s, or until the answers before it are. Nor did an upstream's error that is kept while another attempt is made. Beyond the limit of all answers, small ones had none.

Change: one count holds what is being received and what waits. Beyond 32 MB only small answers are received, as before; beyond 64 MB none. A long answer isn't copied any more to join it to its head. Each answer gives its bytes back when it leaves its connection's queue, whether or not it could be written.

--- a/packages/bilberry_router/src/bilberry_router/entry/active_request.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/active_request.py
@@ -7,6 +7,7 @@
 from bilberry_balance.placement.crashes import fingerprint_of
 from bilberry_resources.routing import RouteRule
 
+from .answer_memory import HeldAnswer
 from .connections import ExchangeOutcome
 from .messages import EntryAnswer, EntryRequest
 from .placer import PlacementRequest
@@ -19,7 +20,8 @@
 
     `first_sent_ms` is the time from its arrival to the first attempt, -1
     until then. `upstream_error` is an upstream's answer with a server error,
-    which is the final answer if no other attempt can be made.
+    which is the final answer if no other attempt can be made; `held_error`
+    counts its bytes meanwhile.
     """
 
     request: EntryRequest
@@ -28,6 +30,7 @@
     request_id: str
     key: str
     deadline_ms: int
+    held_error: HeldAnswer
     attempts: int = 0
     first_sent_ms: int = -1
     may_have_run: bool = False
@@ -40,6 +43,12 @@
         head = request.head
         return fingerprint_of(request.client, head.method, head.target, request.body)
 
+    def hold_error(self, answer: EntryAnswer) -> None:
+        """Keep an upstream's error while another attempt is made."""
+        self.upstream_error = answer
+        self.held_error.release()
+        self.held_error.add(len(answer.body))
+
     def remaining_ms(self, now_ms: int) -> int:
         """Return the time left until the deadline, in ms."""
         return max(0, self.deadline_ms - now_ms)
--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -18,9 +18,16 @@
 
 from ..http.body import BodyError, BodyReader
 from ..http.connection import Connection, ConnectionLostError
-from ..http.const import BODILESS_STATUSES, END_OF_HEAD, END_OF_LINE, METHOD_HEAD
+from ..http.const import (
+    BODILESS_STATUSES,
+    END_OF_HEAD,
+    END_OF_LINE,
+    MAX_JOINED_WRITE_BYTES,
+    METHOD_HEAD,
+)
 from ..http.head import RequestError, RequestHead, parse_head
 from ..http.receive import ReadTimeoutError
+from .answer_memory import AnswerMemory, HeldAnswer
 from .const import (
     BODY_TIMEOUT_MS,
     CLOSE_LINGER_MS,
@@ -49,6 +56,7 @@
     """Represent a request and its answer, which is None until ready."""
 
     request: EntryRequest
+    held: HeldAnswer
     answer: EntryAnswer | None = None
 
 
@@ -56,6 +64,7 @@
     """Serve one accepted connection; answers are written in order."""
 
     __slots__ = (
+        "answer_memory",
         "answer_ready",
         "client",
         "clock",
@@ -77,12 +86,14 @@
         handler: Handler,
         limits: Callable[[], CallerLimits],
         clock: Clock,
+        answer_memory: AnswerMemory,
     ) -> None:
         self.connection = Connection(sock, clock)
         self.client = client
         self.handler = handler
         self.limits = limits
         self.clock = clock
+        self.answer_memory = answer_memory
         self.pending: deque[Exchange] = deque()
         self.answer_ready = Event()
         self.is_reading = False
@@ -138,7 +149,7 @@
         request = self.read_request(parsed)
         if request is None:
             return False
-        exchange = Exchange(request)
+        exchange = Exchange(request, HeldAnswer(self.answer_memory))
         self.pending.append(exchange)
         self.is_reading = False
         self.has_served = True
@@ -215,6 +226,7 @@
         except Exception:
             _LOGGER.exception("entry: Error while handling a request.")
             exchange.answer = local_answer(HTTPStatus.BAD_GATEWAY, "internal error")
+        exchange.held.add(len(exchange.answer.body))
         self.write_ready_answers()
 
     def write_ready_answers(self) -> None:
@@ -226,7 +238,7 @@
             while self.pending and self.pending[0].answer is not None:
                 if not self.is_closing:
                     self.write_or_abort(self.pending[0])
-                self.pending.popleft()
+                self.pending.popleft().held.release()
                 self.answer_ready.set()
         finally:
             self.is_writing = False
@@ -258,12 +270,20 @@
             lines.append("Connection: close")
         elif head.minor_version == 0:
             lines.append("Connection: keep-alive")
-        data = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
-        self.connection.sock.settimeout(WRITE_TIMEOUT_MS / MS_PER_SECOND)
-        self.connection.sock.sendall(data)
+        self.send("\r\n".join(lines).encode("latin-1") + END_OF_HEAD, body)
         if close:
             self.shut_down_writing()
 
+    def send(self, head: bytes, body: bytes) -> None:
+        """Send an answer; a long body isn't copied to join it to the head."""
+        sock = self.connection.sock
+        sock.settimeout(WRITE_TIMEOUT_MS / MS_PER_SECOND)
+        if len(body) > MAX_JOINED_WRITE_BYTES:
+            sock.sendall(head)
+            sock.sendall(body)
+        else:
+            sock.sendall(head + body)
+
     def shut_down_writing(self) -> None:
         """Shut down the sending side; the caller then closes its own."""
         self.is_closing = True
@@ -293,7 +313,8 @@
         head = RequestHead("GET", "/", 1, [], keep_alive=False)
         request = EntryRequest(head, b"", self.client, self.clock.now_ms())
         answer = local_answer(error.status, error.reason)
-        self.pending.append(Exchange(request, answer))
+        held = HeldAnswer(self.answer_memory)
+        self.pending.append(Exchange(request, held, answer))
         self.write_ready_answers()
 
     def close_gracefully(self) -> None:
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -10,16 +10,14 @@
 from ..http.receive import ReadTimeoutError, is_own_timeout
 from ..http.response_parser import ResponseParser
 from ..http.upstream_socket import IdleState, UpstreamSocket
+from .answer_memory import AnswerMemory, HeldAnswer
 from .const import (
     CONNECT_TIMEOUT_MS,
     DEFAULT_IDLE_TIMEOUT_MS,
     IDLE_MARGIN_MS,
-    MAX_ANSWER_BYTES,
-    MAX_BUFFERED_BYTES,
     MAX_UNACKNOWLEDGED_MS,
     NON_IDEMPOTENT_IDLE_FRACTION,
     NOT_RUN_STATUSES,
-    SMALL_ANSWER_BYTES,
 )
 
 HEADER_KEEP_ALIVE = "keep-alive"
@@ -75,17 +73,14 @@
 
 
 class ConnectionPool:
-    """Manage the connections from this node to upstreams.
+    """Manage the connections from this node to upstreams."""
 
-    `buffered_bytes` counts the bytes of all answers being received.
-    """
-
-    __slots__ = ("buffered_bytes", "clock", "id_header", "idle")
+    __slots__ = ("answer_memory", "clock", "id_header", "idle")
 
     def __init__(self, id_header: str, clock: Clock) -> None:
         self.id_header = id_header.lower()
         self.clock = clock
-        self.buffered_bytes = 0
+        self.answer_memory = AnswerMemory()
         self.idle: dict[str, deque[PooledConnection]] = {}
 
     def close(self) -> None:
@@ -160,12 +155,12 @@
         parser: ResponseParser,
         fully_sent: bool,
     ) -> ExchangeOutcome:
-        received = ReceivedBytes(self)
+        received = HeldAnswer(self.answer_memory)
         try:
             outcome = self._receive_answer(
                 connection, attempt, parser, received, fully_sent
             )
-            outcome.received_bytes = received.count
+            outcome.received_bytes = received.byte_count
         finally:
             received.release()
         if not fully_sent:
@@ -177,7 +172,7 @@
         connection: PooledConnection,
         attempt: Attempt,
         parser: ResponseParser,
-        received: "ReceivedBytes",
+        received: HeldAnswer,
         fully_sent: bool,
     ) -> ExchangeOutcome:
         while not parser.is_complete:
@@ -199,7 +194,7 @@
                 return self._connection_lost(attempt, parser, "closed")
             received.add(len(data))
             parser.feed(data)
-            if parser.error or received.is_too_many:
+            if parser.error or received.is_too_large:
                 reason = parser.error or "the answer is too large"
                 parser.pop_body()
                 return ExchangeOutcome(
@@ -253,37 +248,6 @@
         return connection
 
 
-class ReceivedBytes:
-    """Count the bytes of one answer, and their part of the pool's total."""
-
-    __slots__ = ("count", "pool")
-
-    def __init__(self, pool: ConnectionPool) -> None:
-        self.pool = pool
-        self.count = 0
-
-    @property
-    def is_too_many(self) -> bool:
-        """Return whether this answer takes too much memory.
-
-        Once all answers together do, only small ones may still grow.
-        """
-        if self.count > MAX_ANSWER_BYTES:
-            return True
-        is_small = self.count <= SMALL_ANSWER_BYTES
-        return self.pool.buffered_bytes > MAX_BUFFERED_BYTES and not is_small
-
-    def add(self, count: int) -> None:
-        """Count received bytes."""
-        self.count += count
-        self.pool.buffered_bytes += count
-
-    def release(self) -> None:
-        """Take this answer's bytes off the pool's total."""
-        self.pool.buffered_bytes -= self.count
-        self.count = 0
-
-
 def _may_reuse(parser: ResponseParser) -> bool:
     """Return whether a later request may use the answer's connection.
 
--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -17,6 +17,8 @@
 MAX_ANSWER_BYTES = 16_000_000
 # Of all answers together; beyond it only small answers are received.
 MAX_BUFFERED_BYTES = 32_000_000
+# Beyond it no answer is received.
+MAX_HELD_BYTES = 64_000_000
 SMALL_ANSWER_BYTES = 256_000
 MAX_FORWARDED_TIMEOUT_MS = 600_000
 
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -19,6 +19,7 @@
     placement_request,
 )
 from .answer_checks import answer_failure_point, is_server_error
+from .answer_memory import HeldAnswer
 from .answers import (
     DRAINING_RETRY_MS,
     draining_answer,
@@ -101,7 +102,10 @@
                 request, local_answer(HTTPStatus.NOT_FOUND, "no route")
             )
         active = self.start_request(request, entry)
-        answer = self.refuse_quarantined(active) or self.forward(active)
+        try:
+            answer = self.refuse_quarantined(active) or self.forward(active)
+        finally:
+            active.held_error.release()
         took_ms = self.state.clock.now_ms() - request.arrived_ms
         self.request_log.record_end(active, answer, took_ms)
         return self.count_answer(request, answer, active.service)
@@ -126,6 +130,7 @@
             head.first(self.header_names.request_id.lower()) or "",
             key or "",
             request.arrived_ms + self.timeout_ms(head, rule),
+            HeldAnswer(self.connections.answer_memory),
         )
         self.state.retry_budget(active.service).on_request(request.arrived_ms)
         return active
@@ -165,7 +170,7 @@
                 self.request_log.record_failed_attempt(active, placed, record)
                 if not record.will_retry:
                     return answer
-                active.upstream_error = answer
+                active.hold_error(answer)
                 active.may_have_run = True
                 continue
             decision = self.decide(active, outcome.point)
--- a/packages/bilberry_router/src/bilberry_router/entry/listener.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/listener.py
@@ -14,6 +14,7 @@
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_resources.routing import CallerLimits
 
+from .answer_memory import AnswerMemory
 from .caller import CallerConnection, Handler
 from .const import DRAIN_POLL_MS, MAX_CONNECTIONS
 
@@ -25,7 +26,15 @@
 class Listener:
     """Manage a listening socket and the connections accepted on it."""
 
-    __slots__ = ("clock", "connections", "draining", "handler", "limits", "server")
+    __slots__ = (
+        "answer_memory",
+        "clock",
+        "connections",
+        "draining",
+        "handler",
+        "limits",
+        "server",
+    )
 
     def __init__(
         self,
@@ -33,7 +42,9 @@
         handler: Handler,
         limits: Callable[[], CallerLimits],
         clock: Clock,
+        answer_memory: AnswerMemory | None = None,
     ) -> None:
+        self.answer_memory = answer_memory or AnswerMemory()
         self.handler = handler
         self.limits = limits
         self.clock = clock
@@ -71,7 +82,12 @@
         """Serve one accepted connection."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(
-            sock, address[0], self.handler, self.limits, self.clock
+            sock,
+            address[0],
+            self.handler,
+            self.limits,
+            self.clock,
+            self.answer_memory,
         )
         connection.is_draining = self.draining
         self.connections.add(connection)
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -111,7 +111,11 @@
         self.feeds = self._feeds(stable_hash(name))
         self.membership.feeds = self.feeds
         self.entry_listener = Listener(
-            addresses.entry, self.forwarder, lambda: self.state.limits, clock
+            addresses.entry,
+            self.forwarder,
+            lambda: self.state.limits,
+            clock,
+            self.connections.answer_memory,
         )
         self.listeners = [self.entry_listener, *self._auxiliary_listeners(addresses)]
 
--- a/tests/bilberry_router/entry/common.py
+++ b/tests/bilberry_router/entry/common.py
@@ -144,7 +144,11 @@
         self.connections = ConnectionPool(NAMES.request_id, self.clock)
         self.forwarder = Forwarder(self.state, self.placer, self.connections, NAMES)
         self.listener = Listener(
-            "127.0.0.1:0", self.forwarder, lambda: self.state.limits, self.clock
+            "127.0.0.1:0",
+            self.forwarder,
+            lambda: self.state.limits,
+            self.clock,
+            self.connections.answer_memory,
         )
         self.upstreams = [
             UpstreamServer(
--- a/tests/bilberry_router/entry/test_endless_answers.py
+++ b/tests/bilberry_router/entry/test_endless_answers.py
@@ -64,7 +64,7 @@
         assert answer.status == 502
         assert "retry-after" not in answer.headers
         eventually(lambda: endless.open == 0)
-        assert rig.connections.buffered_bytes == 0
+        assert rig.connections.answer_memory.held_bytes == 0
 
 
 def test_drips_end_at_the_routes_timeout():
@@ -85,7 +85,7 @@
 
 def test_all_answers_together_take_bounded_memory(monkeypatch):
     limit = 4 * SMALL_ANSWER_BYTES
-    monkeypatch.setattr("bilberry_router.entry.connections.MAX_BUFFERED_BYTES", limit)
+    monkeypatch.setattr("bilberry_router.entry.answer_memory.MAX_BUFFERED_BYTES", limit)
     count = 8
     most = []
     with Rig(count=1, slots=count) as rig:
@@ -96,7 +96,7 @@
             client.send("/book/x", method="POST", body=b"x")
         waiting = gevent.spawn(lambda: [client.answer() for client in clients])
         while not waiting.ready():
-            most.append(rig.connections.buffered_bytes)
+            most.append(rig.connections.answer_memory.held_bytes)
             gevent.sleep(0.001)
         assert {answer.status for answer in waiting.value} == {502}
     assert max(most) < limit + count * (SMALL_ANSWER_BYTES + 65_536)
@@ -104,6 +104,6 @@
 
 
 def test_small_answers_are_received_beside_endless_ones(monkeypatch):
-    monkeypatch.setattr("bilberry_router.entry.connections.MAX_BUFFERED_BYTES", 0)
+    monkeypatch.setattr("bilberry_router.entry.answer_memory.MAX_BUFFERED_BYTES", 0)
     with Rig(count=1) as rig:
         assert rig.ask("/read/x").status == 200
