Close the idle connections to upstreams that are gone

Cause: an idle connection left the pool only when its address was used again. Upstreams that were replaced have new addresses, so that each of their connections kept a descriptor for good. Without descriptors, making the socket failed outside of what handles a failed connect, and ended as "internal error", a 502 for a request that was never sent.

Change: the node closes idle connections that have expired, at each address, in the interval in which it drops other state. They would not have been used again. Without a descriptor a request is refused as not run at once, with a Retry-After, and its upstream isn't blamed. The forwarding path fails such a connect like any other; its pools already close idle connections.

--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -1,5 +1,6 @@
 """Pool connections to upstreams and exchange requests on them."""
 
+import re
 from collections import deque
 from dataclasses import dataclass
 
@@ -15,6 +16,7 @@
     CONNECT_TIMEOUT_MS,
     DEFAULT_IDLE_TIMEOUT_MS,
     IDLE_MARGIN_MS,
+    MAX_IDLE_TIMEOUT_MS,
     MAX_UNACKNOWLEDGED_MS,
     NON_IDEMPOTENT_IDLE_FRACTION,
     NOT_RUN_STATUSES,
@@ -22,6 +24,7 @@
 
 HEADER_KEEP_ALIVE = "keep-alive"
 KEEP_ALIVE_TIMEOUT_PARAMETER = "timeout"
+_SECONDS = re.compile(r"[0-9]{1,9}")
 
 
 class PooledConnection(UpstreamSocket):
@@ -33,6 +36,10 @@
         super().__init__(address)
         self.idle_limit_ms = DEFAULT_IDLE_TIMEOUT_MS
 
+    def has_expired(self, now_ms: int) -> bool:
+        """Return whether it has been idle for too long to be used again."""
+        return now_ms - self.idle_since_ms >= self.idle_limit_ms
+
 
 @dataclass(slots=True)
 class Attempt:
@@ -95,9 +102,16 @@
         connections = self.idle.get(address)
         if not connections:
             return False
-        newest = connections[-1]
-        age_ms = self.clock.now_ms() - newest.idle_since_ms
-        return age_ms < newest.idle_limit_ms
+        return not connections[-1].has_expired(self.clock.now_ms())
+
+    def close_expired(self) -> None:
+        """Close the connections that have been idle for too long."""
+        now_ms = self.clock.now_ms()
+        for address, connections in list(self.idle.items()):
+            while connections and connections[0].has_expired(now_ms):
+                connections.popleft().close()
+            if not connections:
+                del self.idle[address]
 
     def exchange(self, address: str, attempt: Attempt) -> ExchangeOutcome:
         """Send the request to `address` and return the outcome."""
@@ -236,7 +250,10 @@
     def _connect(
         self, address: str, attempt: Attempt
     ) -> PooledConnection | ExchangeOutcome:
-        connection = PooledConnection(address)
+        try:
+            connection = PooledConnection(address)
+        except OSError as error:
+            return ExchangeOutcome(FailurePoint.BEFORE_CONNECT, reason=str(error))
         remaining_ms = attempt.deadline_ms - self.clock.now_ms()
         try:
             connection.connect(
@@ -260,6 +277,7 @@
     """Return how long a connection may be idle and still be reused."""
     for part in (header or "").split(","):
         name, _, value = part.strip().partition("=")
-        if name == KEEP_ALIVE_TIMEOUT_PARAMETER and value.isdigit():
-            return max(0, int(value) * MS_PER_SECOND - IDLE_MARGIN_MS)
+        if name == KEEP_ALIVE_TIMEOUT_PARAMETER and _SECONDS.fullmatch(value):
+            limit_ms = int(value) * MS_PER_SECOND - IDLE_MARGIN_MS
+            return max(0, min(limit_ms, MAX_IDLE_TIMEOUT_MS))
     return DEFAULT_IDLE_TIMEOUT_MS
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -44,7 +44,6 @@
 HEADER_HOST = "host"
 NO_CONFIG_RETRY_MS = 500
 LOST_ANSWER_POINTS = frozenset({FailurePoint.AWAITING_ANSWER, FailurePoint.MID_ANSWER})
-UNSENT_POINTS = frozenset({FailurePoint.DURING_CONNECT, FailurePoint.BEFORE_CONNECT})
 
 
 class Forwarder:
@@ -181,7 +180,7 @@
                 return active.upstream_error or failure_answer(
                     outcome, decision, self.retry_after_ms(active)
                 )
-            if outcome.point not in UNSENT_POINTS:
+            if outcome.point is not FailurePoint.DURING_CONNECT:
                 budget = self.state.retry_budget(active.service)
                 budget.try_take(self.state.clock.now_ms())
 
@@ -295,15 +294,21 @@
         return self.state.retry_budget(active.service).try_take(now_ms)
 
     def decide(self, active: ActiveRequest, point: FailurePoint) -> FailureDecision:
-        """Decide between a retry and an answer after a failed attempt."""
+        """Decide between a retry and an answer after a failed attempt.
+
+        Without a socket to connect with, no other upstream can be tried.
+        """
         now_ms = self.state.clock.now_ms()
         budget = self.state.retry_budget(active.service)
-        granted = point in UNSENT_POINTS or budget.has_retry(now_ms)
+        granted = point is FailurePoint.DURING_CONNECT or budget.has_retry(now_ms)
+        may_connect = point is not FailurePoint.BEFORE_CONNECT
         return decide_on_failure(
             point,
             active.rule.idempotent,
             has_key=False,
-            has_retry_budget=granted and self.has_attempts_left(active),
+            has_retry_budget=(
+                granted and may_connect and self.has_attempts_left(active)
+            ),
             deadline_left_ms=active.remaining_ms(now_ms),
             may_have_run=active.may_have_run,
         )
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -183,6 +183,7 @@
             gevent.sleep(EXPIRY_INTERVAL_MS / MS_PER_SECOND)
             now_ms = self.clock.now_ms()
             self.upstream_listener.expire(now_ms)
+            self.connections.close_expired()
             self.state.peer_loads.expire(now_ms)
             self.state.adjust_rate_limits(now_ms)
             self.state.update_open_regions()
--- a/packages/bilberry_router/src/bilberry_router/forward/transport.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/transport.py
@@ -156,7 +156,10 @@
         return None
 
     def _connect(self, timeout_ms: int) -> Result[UpstreamConnection, ConnectError]:
-        connection = UpstreamConnection(self.address)
+        try:
+            connection = UpstreamConnection(self.address)
+        except OSError as error:
+            return Failure(ConnectError(str(error)))
         self.in_use.add(connection)
         try:
             connection.connect(min(timeout_ms, DEFAULT_CONNECT_TIMEOUT_MS))
