--- a/packages/bilberry_router/src/bilberry_router/forward/const.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/const.py
@@ -4,7 +4,8 @@
 RESPONSE_BUFFER_BYTES = 65_536
 MAX_REQUEST_ID_LENGTH = 128
 MAX_KEY_LENGTH = 255
-MAX_PEER_BODY_BYTES = 64_000_000
+# A call may hand over all that a key owner keeps.
+MAX_KEY_CALL_BYTES = 64_000_000
 # A reply of another node may hold a stored response, in Base64.
 MAX_CONTROL_RESPONSE_BYTES = 1_000_000
 
--- a/packages/bilberry_router/src/bilberry_router/forward/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/forward/forwarder.py
@@ -24,7 +24,7 @@
 from .active_attempt import ActiveAttempt, ResponseStream
 from .admission import AdmissionController, AdmissionStatus
 from .attempts import AttemptRunner
-from .const import MAX_PEER_BODY_BYTES
+from .const import MAX_KEY_CALL_BYTES
 from .endpoints import Endpoints
 from .headers import get_request_id, request_headers
 from .keyed.epochs import EpochStore
@@ -93,9 +93,9 @@
 
     def handle_peer(self, environ: Environ, start_response: Any) -> list[bytes]:
         """Answer a call of another node below `/internal/v1/keyed/`."""
-        body = read_body(environ, MAX_PEER_BODY_BYTES)
+        body = read_body(environ, MAX_KEY_CALL_BYTES)
         if body is None:
-            response = problem_response(413, f"over {MAX_PEER_BODY_BYTES} bytes")
+            response = problem_response(413, f"over {MAX_KEY_CALL_BYTES} bytes")
         else:
             response = self.keys.peers.handle(get_head(environ), body)
         return send_response(response, start_response)
--- a/tests/bilberry_fleet/discovery/test_feed.py
+++ b/tests/bilberry_fleet/discovery/test_feed.py
@@ -2,109 +2,26 @@
 
 import gevent
 import pytest
-from gevent.event import AsyncResult
 from hypothesis import given
 from hypothesis import strategies as st
 
 from bilberry_core.clock import ManualClock
-from bilberry_core.outcome import Failure, Success
+from bilberry_core.outcome import Failure
 from bilberry_fleet.discovery import const, heartbeats
 from bilberry_fleet.discovery import feed as feed_module
 from bilberry_fleet.discovery.const import CATCH_UP_AFTER_MS, CATCH_UP_WAIT_MS
 from bilberry_fleet.discovery.feed import Feed
-from bilberry_fleet.discovery.source import Change, Changes, Record, Snapshot
+from bilberry_fleet.discovery.source import Record, Snapshot
 from bilberry_fleet.discovery.store_breaker import StoreBreaker
 from bilberry_router.entry.const import EXPIRY_INTERVAL_MS
 from bilberry_store.errors import StoreError, StoreErrorKind
 
 from ...bilberry_router.entry.common import eventually
+from .common import FeedRig, History, changes
 
 SHORTEST_DRAIN_MS = 2_500
 
 
-class ScriptedSource:
-    """Let a test answer each call."""
-
-    def __init__(self):
-        self.calls = []
-        self.answers = []
-
-    def list(self, kind):
-        return self.wait(("list",))
-
-    def watch(self, kind, revision, wait_ms, may_be_stale):
-        return self.wait(("watch", revision, wait_ms, may_be_stale))
-
-    def wait(self, call):
-        answer = AsyncResult()
-        self.calls.append(call)
-        self.answers.append(answer)
-        return answer.get()
-
-    def answer(self, index, value):
-        self.answers[index].set(Success(value))
-        gevent.sleep(0)
-        gevent.sleep(0)
-
-
-class RecordingListener:
-    def __init__(self):
-        self.applied = []
-        self.has_news = True
-
-    def on_snapshot(self, snapshot):
-        self.applied.append([record.revision for record in snapshot.records])
-
-    def on_changes(self, changes):
-        self.applied.append([change.record.revision for change in changes.changes])
-        return self.has_news
-
-    def on_outage(self):
-        self.applied.append("outage")
-
-
-def changes(*revisions, as_of=0):
-    found = [Change(Record(f"u{r}", r, {}), False) for r in revisions]
-    return Changes(found, as_of or max(revisions))
-
-
-class FeedRig:
-    def __init__(self, stale=True):
-        self.clock = ManualClock()
-        self.source = ScriptedSource()
-        self.listener = RecordingListener()
-        self.feed = Feed(
-            "servers",
-            self.source,
-            self.listener,
-            self.clock,
-            1,
-            lambda: stale,
-            StoreBreaker(1),
-        )
-
-    def __enter__(self):
-        self.feed.start()
-        gevent.sleep(0)
-        self.source.answer(0, Snapshot([], 10))
-        return self
-
-    def __exit__(self, *exc):
-        self.feed.close()
-
-    def tell(self, revision):
-        self.feed.on_peers_revision(revision, self.clock.now_ms())
-
-    def check(self, after_ms=0):
-        self.clock.advance(after_ms)
-        self.feed.catch_up_if_behind(self.clock.now_ms())
-        gevent.sleep(0)
-
-    @property
-    def exact_reads(self):
-        return [c for c in self.source.calls if c[2:] == (CATCH_UP_WAIT_MS, False)]
-
-
 def test_a_feed_goes_on_after_an_error_of_its_listener(monkeypatch, caplog):
     monkeypatch.setattr(feed_module, "RETRY_MAX_MS", 1)
     with FeedRig() as rig:
@@ -240,29 +157,6 @@
     assert max(exact_read_ms, own_read_ms) < SHORTEST_DRAIN_MS
 
 
-class History:
-    """The true changes of a kind; each revision is one change."""
-
-    def __init__(self, changes):
-        self.changes = changes
-
-    def state_at(self, revision):
-        state = {}
-        for number, (name, deleted) in enumerate(self.changes[:revision], 1):
-            if deleted:
-                state.pop(name, None)
-            else:
-                state[name] = number
-        return state
-
-    def read(self, since, as_of):
-        found = [
-            Change(Record(self.changes[r][0], r + 1, {}), self.changes[r][1])
-            for r in range(since, as_of)
-        ]
-        return Changes(found, as_of)
-
-
 class StateListener:
     """Keeps the revision of each object, as the feed tells it."""
 
--- a/tests/bilberry_fleet/discovery/test_listing.py
+++ b/tests/bilberry_fleet/discovery/test_listing.py
@@ -11,7 +11,7 @@
 from bilberry_store.errors import StoreError, StoreErrorKind
 
 from ...bilberry_router.entry.common import eventually
-from .test_feed import FeedRig, History
+from .common import FeedRig, History
 
 NAMES = "abcdef"
 
--- a/tests/bilberry_fleet/discovery/test_store_breaker.py
+++ b/tests/bilberry_fleet/discovery/test_store_breaker.py
@@ -11,7 +11,7 @@
 from bilberry_fleet.discovery.store_breaker import StoreBreaker
 from bilberry_store.errors import StoreError, StoreErrorKind
 
-from .test_feed import RecordingListener, ScriptedSource
+from .common import RecordingListener, ScriptedSource
 
 KINDS = ("config", "servers", "evacuations", "nodes")
 UNREACHABLE = StoreError(kind=StoreErrorKind.UNREACHABLE, reason="refused")
--- a/tests/bilberry_router/forward/keyed/test_epochs.py
+++ b/tests/bilberry_router/forward/keyed/test_epochs.py
@@ -119,7 +119,7 @@
 
 
 def test_too_large_call_is_refused(monkeypatch):
-    monkeypatch.setattr(forwarder, "MAX_PEER_BODY_BYTES", 100)
+    monkeypatch.setattr(forwarder, "MAX_KEY_CALL_BYTES", 100)
     with Nodes(answer_with_count) as nodes, Caller(nodes.peers[1].server_port) as peer:
         head = "POST /internal/v1/keyed/begin HTTP/1.1\r\nHost: x\r\n"
         peer.sock.sendall(f"{head}Content-Length: 101\r\n\r\n".encode() + b"x" * 101)
