--- a/bench/forward_processes.py
+++ b/bench/forward_processes.py
@@ -14,7 +14,6 @@
 from bilberry_resources.kinds.topology import RegionSpec
 from bilberry_resources.snapshot import ConfigSnapshot
 from bilberry_router.forward.forwarder import Forwarder
-from bilberry_router.http.server import Server
 from bilberry_router.lookup import VmSelector
 from bilberry_router.public_app import PublicApp
 from bilberry_router.settings import Settings, decode_settings
@@ -23,7 +22,7 @@
 from bilberry_steering.node import NodeSteering
 
 from .load import LoadResult, get_request, read_answer
-from .processes import ready
+from .processes import ready, serve
 
 SERVICE = "suivi"
 REGION = "mtl"
@@ -31,7 +30,6 @@
 CAPACITY_PER_S = 1_000_000.0
 SLOTS = 64
 CONNECTIONS = 16
-MAX_CONNECTIONS = 1_000
 BODY_BYTES = 1_000
 CHUNK = b"x" * 65_536
 HEAD_END = b"\r\n\r\n"
@@ -89,7 +87,7 @@
     state.install(snapshot)
     forwarder = Forwarder(state, steering, clock)
     forwarder.start()
-    _serve(pipe, PublicApp(VmSelector(state, steering), forwarder))
+    serve(pipe, PublicApp(VmSelector(state, steering), forwarder))
 
 
 def serve_bare(pipe: Connection) -> None:
@@ -100,14 +98,7 @@
         start_response("200 OK", [("Content-Length", str(len(body)))])
         return [body]
 
-    _serve(pipe, application)
-
-
-def _serve(pipe: Connection, application: Any) -> None:
-    server = Server("127.0.0.1:0", application, max_connections=MAX_CONNECTIONS)
-    server.start()
-    ready(pipe, server.server_port)
-    gevent.get_hub().join()
+    serve(pipe, application)
 
 
 def serve_upstream(pipe: Connection) -> None:
--- a/bench/lookup.py
+++ b/bench/lookup.py
@@ -9,13 +9,11 @@
 from multiprocessing.connection import Connection
 from typing import Any
 
-import gevent
 import psutil
 
 from bilberry_core.clock import SystemClock
 from bilberry_fleet.messages import Member, MemberState
 from bilberry_resources.snapshot import ConfigSnapshot
-from bilberry_router.http.server import Server
 from bilberry_router.lookup import VmSelector
 from bilberry_router.public_app import PublicApp
 from bilberry_router.settings import decode_settings
@@ -25,12 +23,11 @@
 
 from .blocks import REGIONS, block_sets, client_addresses, region_specs
 from .load import LoadResult, get_request, run_load
-from .processes import Child, ready
+from .processes import Child, ready, serve
 from .report import Options, Report
 
 TARGET_SHARE = 0.7
 BLOCKS = 510_000
-MAX_CONNECTIONS = 1_000
 CONNECTIONS = 16
 QUICK_MS = 3_000
 FULL_MS = 10_000
@@ -78,7 +75,7 @@
 def serve_lookups(pipe: Connection, blocks: int, seed: int) -> None:
     """Serve look-ups in this process."""
     vm_selector = build_vm_selector(blocks, seed)
-    _serve(pipe, PublicApp(vm_selector, None))  # type: ignore[arg-type]
+    serve(pipe, PublicApp(vm_selector, None))  # type: ignore[arg-type]
 
 
 def serve_bare(pipe: Connection) -> None:
@@ -92,14 +89,7 @@
         start_response("200 OK", headers)
         return [BARE_BODY]
 
-    _serve(pipe, application)
-
-
-def _serve(pipe: Connection, application: Any) -> None:
-    server = Server("127.0.0.1:0", application, max_connections=MAX_CONNECTIONS)
-    server.start()
-    ready(pipe, server.server_port)
-    gevent.get_hub().join()
+    serve(pipe, application)
 
 
 def drive(pipe: Connection, port: int, paths: list[str], duration_ms: int) -> None:
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -5,7 +5,12 @@
 from multiprocessing.connection import Connection
 from typing import Any
 
+import gevent
+
+from bilberry_router.http.server import Server
+
 START_TIMEOUT_S = 60
+MAX_CONNECTIONS = 1_000
 
 _CONTEXT = multiprocessing.get_context("spawn")
 
@@ -48,3 +53,11 @@
 def ready(pipe: Connection, message: Any) -> None:
     """Tell the parent that this process serves."""
     pipe.send(message)
+
+
+def serve(pipe: Connection, application: Any) -> None:
+    """Serve a WSGI application in this process, and tell the parent."""
+    server = Server("127.0.0.1:0", application, max_connections=MAX_CONNECTIONS)
+    server.start()
+    ready(pipe, server.server_port)
+    gevent.get_hub().join()
