Test two mechanisms whose loss no test noticed

Without the rule that a replayed change takes no record back, and without the one that a request without a descriptor tries no other upstream, all tests passed: the first shows only between two reads of one list, and the second was hidden by the refusal that ends the search.

--- a/tests/bilberry_fleet/discovery/test_listing.py
+++ b/tests/bilberry_fleet/discovery/test_listing.py
@@ -82,6 +82,14 @@
     assert snapshot.is_consistent
 
 
+@pytest.mark.parametrize("deleted", [False, True])
+def test_a_replayed_change_takes_no_record_back(deleted):
+    """Guard against a state from before the page that showed the record."""
+    listed = Snapshot([Record("a", 7, {}), Record("b", 3, {})], 5, 8)
+    replayed = [Change(Record("a", 6, {}), deleted), Change(Record("b", 3, {}), True)]
+    assert listed.with_changes(Changes(replayed, 6)).records == [Record("a", 7, {})]
+
+
 def test_a_list_in_one_page_costs_one_call():
     source = PagedHistory([("a", False), ("b", False)], [2], 2, 9, False)
     snapshot = read_snapshot("servers", source).unwrap()
--- a/tests/bilberry_router/entry/test_idle_connections.py
+++ b/tests/bilberry_router/entry/test_idle_connections.py
@@ -64,10 +64,17 @@
 
 
 def test_a_request_that_finds_no_descriptor_is_refused_as_not_run(monkeypatch):
-    """Guard against a 502 for what was never sent."""
+    """Guard against a 502, and against a search through all upstreams."""
+    tried = []
+
+    def count_and_fail(address):
+        tried.append(address)
+        no_descriptors(address)
+
     with Rig() as rig:
-        monkeypatch.setattr(connections_module, "PooledConnection", no_descriptors)
+        monkeypatch.setattr(connections_module, "PooledConnection", count_and_fail)
         answer = rig.ask("/book/x", method="POST", body=b"order")
+        assert len(tried) == 1
         assert answer.status == 503
         assert "retry-after" in answer.headers
         assert not any(u.unreachable for u in rig.state.upstreams.by_name.values())
