Call the processes of a measurement or scenario a cluster

It is a cluster where there are processes or nodes, and a simulation where there are none; `steering_worlds` holds deployments and is named so. No behaviour changes.

--- a/bench/balance.py
+++ b/bench/balance.py
@@ -8,7 +8,7 @@
 from .balance_keys import add_key_tables
 from .balance_model import CASES, SERVICES, Case, ServiceSize, make_requests
 from .balance_options import BASELINES, CENTRAL, OPTIONS
-from .balance_sim import World
+from .balance_sim import Simulation
 from .report import Options, Report, Table
 
 WARM_PART = 0.1
@@ -45,13 +45,13 @@
     option: str, size: ServiceSize, case: Case, count: int, seed: int
 ) -> Figures:
     """Run one option through one case."""
-    world = World(size, case)
+    simulation = Simulation(size, case)
     requests = make_requests(size, case, count, seed)
-    router = OPTIONS[option](world, seed)
+    router = OPTIONS[option](simulation, seed)
     for request in requests:
-        world.events.after(request.arrived_ms, router.arrive, request)
-    world.start_reports(requests[-1].arrived_ms, router.on_reports)
-    world.events.run_all()
+        simulation.events.after(request.arrived_ms, router.arrive, request)
+    simulation.start_reports(requests[-1].arrived_ms, router.on_reports)
+    simulation.events.run_all()
     counted = requests[int(count * WARM_PART) :]
     if case.cold_ms:
         counted = requests
@@ -65,8 +65,8 @@
         p99_ms=quantile(latencies, 0.99),
         p999_ms=quantile(latencies, 0.999),
         served=len(latencies) / len(counted),
-        over=max(server.most for server in world.servers) / size.slots,
-        waited=world.waited / count,
+        over=max(server.most for server in simulation.servers) / size.slots,
+        waited=simulation.waited / count,
         messages=router.messages / count,
     )
 
--- a/bench/balance_options.py
+++ b/bench/balance_options.py
@@ -30,7 +30,7 @@
 from bilberry_core.registry import Registry
 
 from .balance_model import CONNECTIONS, NODES, Request, ServiceSize
-from .balance_sim import World
+from .balance_sim import Simulation
 
 MAX_TRIES = 3
 MEMBERS = [f"n{i}" for i in range(NODES)]
@@ -46,14 +46,14 @@
     POLICY_FASTEST,
 )
 
-OPTIONS: Registry[str, Callable[[World, int], "Option"]] = Registry()
+OPTIONS: Registry[str, Callable[[Simulation, int], "Option"]] = Registry()
 
 
 class Option:
     """Take requests at nodes and bring them to endpoints."""
 
-    def __init__(self, world: World, seed: int) -> None:
-        self.world = world
+    def __init__(self, simulation: Simulation, seed: int) -> None:
+        self.simulation = simulation
         self.rng = random.Random(seed)
         self.messages = 0
 
@@ -69,36 +69,36 @@
 class Central(Option):
     """Bring each request to a free slot through one perfect queue."""
 
-    def __init__(self, world: World, seed: int) -> None:
-        super().__init__(world, seed)
-        self.in_flight = [0] * world.size.endpoints
+    def __init__(self, simulation: Simulation, seed: int) -> None:
+        super().__init__(simulation, seed)
+        self.in_flight = [0] * simulation.size.endpoints
         self.queue: deque[Request] = deque()
 
     def arrive(self, request: Request) -> None:
         """Send the request to the least used endpoint, or queue it."""
         least = min(range(len(self.in_flight)), key=self._rank)
-        size = self.world.size
+        size = self.simulation.size
         if self.in_flight[least] >= size.slots:
             if len(self.queue) < size.slots * size.endpoints:
                 self.queue.append(request)
             return
         self.in_flight[least] += 1
         request.endpoint = least
-        self.world.send(request.node, request, self.done)
+        self.simulation.send(request.node, request, self.done)
 
     def done(self, request: Request, answered: bool) -> None:
         """End a request and send the next one."""
         self.in_flight[request.endpoint] -= 1
-        request.done_ms = self.world.events.now_ms
+        request.done_ms = self.simulation.events.now_ms
         while self.queue:
             waiting = self.queue.popleft()
-            if waiting.deadline_ms > self.world.events.now_ms:
+            if waiting.deadline_ms > self.simulation.events.now_ms:
                 self.arrive(waiting)
                 return
 
     def _rank(self, endpoint: int) -> tuple[float, int]:
-        slow = self.world.slowness(endpoint) > 1
-        return self.in_flight[endpoint] / self.world.size.slots, slow
+        slow = self.simulation.slowness(endpoint) > 1
+        return self.in_flight[endpoint] / self.simulation.size.slots, slow
 
 
 def node_shares(size: ServiceSize, node: str) -> list[EndpointShare]:
@@ -117,12 +117,12 @@
 
     policy = POLICY_RANDOM
 
-    def __init__(self, world: World, seed: int) -> None:
-        super().__init__(world, seed)
+    def __init__(self, simulation: Simulation, seed: int) -> None:
+        super().__init__(simulation, seed)
         self.pools = []
         for index, member in enumerate(MEMBERS):
             pool = Pool(self.policy, seed * NODES + index)
-            pool.update(node_shares(world.size, member), 0)
+            pool.update(node_shares(simulation.size, member), 0)
             self.pools.append(pool)
 
     def arrive(self, request: Request) -> None:
@@ -131,7 +131,7 @@
 
     def try_once(self, request: Request, exclude: frozenset[str] = frozenset()) -> None:
         """Pick an endpoint and send."""
-        now_ms = int(self.world.events.now_ms)
+        now_ms = int(self.simulation.events.now_ms)
         pick = self.pools[request.node].pick(now_ms, exclude, may_wait=False)
         if pick is None:
             self.ended(request)
@@ -142,12 +142,14 @@
         """Send a request to a picked endpoint."""
         request.endpoint = int(name[1:])
         request.tries += 1
-        self.pools[request.node].on_request_started(name, int(self.world.events.now_ms))
-        self.world.send(request.node, request, self.done)
+        self.pools[request.node].on_request_started(
+            name, int(self.simulation.events.now_ms)
+        )
+        self.simulation.send(request.node, request, self.done)
 
     def done(self, request: Request, answered: bool) -> None:
         """Learn from the end of an attempt; try again after a shed."""
-        now_ms = self.world.events.now_ms
+        now_ms = self.simulation.events.now_ms
         name = f"e{request.endpoint:02}"
         end = AttemptOutcome.ANSWERED if answered else AttemptOutcome.SHED
         latency_ms = now_ms - request.sent_ms
@@ -166,9 +168,9 @@
 
     def on_reports(self, reports: Sequence[tuple[int, int]]) -> None:
         """Hand the reports to every node's pool."""
-        now_ms = int(self.world.events.now_ms)
+        now_ms = int(self.simulation.events.now_ms)
         for index, (in_flight, queued) in enumerate(reports):
-            report = LoadReport(self.world.size.slots, in_flight, queued, now_ms)
+            report = LoadReport(self.simulation.size.slots, in_flight, queued, now_ms)
             for pool in self.pools:
                 pool.on_load(f"e{index:02}", report, now_ms)
 
@@ -188,21 +190,21 @@
     policy = POLICY_QUOTA
     running_per_slot = 1
 
-    def __init__(self, world: World, seed: int) -> None:
-        super().__init__(world, seed)
+    def __init__(self, simulation: Simulation, seed: int) -> None:
+        super().__init__(simulation, seed)
         self.waiting: list[dict[int, Request]] = [{} for _ in MEMBERS]
         self.queues = [
             AdmissionQueue(
                 max_running=pool.free_slots(0) * self.running_per_slot,
                 min_running=pool.free_slots(0),
-                expected_latency_ms=world.size.service_ms,
+                expected_latency_ms=simulation.size.service_ms,
             )
             for pool in self.pools
         ]
 
     def arrive(self, request: Request) -> None:
         """Admit, hold or shed the request."""
-        now_ms = int(self.world.events.now_ms)
+        now_ms = int(self.simulation.events.now_ms)
         queue = self.queues[request.node]
         decision = queue.offer(QueuePriority.NORMAL, int(request.deadline_ms), now_ms)
         if isinstance(decision, Admit):
@@ -217,7 +219,7 @@
 
     def ended(self, request: Request) -> None:
         """Let the next waiting request go on."""
-        now_ms = int(self.world.events.now_ms)
+        now_ms = int(self.simulation.events.now_ms)
         done_ms = request.done_ms
         latency_ms = None if done_ms is None else done_ms - request.sent_ms
         queue = self.queues[request.node]
@@ -244,9 +246,9 @@
 class Owner(Option):
     """Send each request through the node that owns its endpoint."""
 
-    def __init__(self, world: World, seed: int) -> None:
-        super().__init__(world, seed)
-        count = world.size.endpoints
+    def __init__(self, simulation: Simulation, seed: int) -> None:
+        super().__init__(simulation, seed)
+        count = simulation.size.endpoints
         self.in_flight = [0] * count
         self.queues: list[deque[Request]] = [deque() for _ in range(count)]
         self.seen = [[0] * count for _ in MEMBERS]
@@ -258,21 +260,21 @@
         chosen = first if seen[first] <= seen[second] else second
         seen[chosen] += 1
         request.endpoint = chosen
-        self.world.events.after(self._hop_ms(request), self._at_owner, request)
+        self.simulation.events.after(self._hop_ms(request), self._at_owner, request)
 
     def _hop_ms(self, request: Request) -> float:
         if request.endpoint % NODES == request.node:
             return 0.0
         self.messages += 1
-        return self.world.size.peer_one_way_ms
+        return self.simulation.size.peer_one_way_ms
 
     def _at_owner(self, request: Request) -> None:
-        if self.in_flight[request.endpoint] >= self.world.size.slots:
+        if self.in_flight[request.endpoint] >= self.simulation.size.slots:
             self.queues[request.endpoint].append(request)
             return
         self.in_flight[request.endpoint] += 1
         owner = request.endpoint % NODES
-        self.world.send(owner, request, self.done)
+        self.simulation.send(owner, request, self.done)
 
     def done(self, request: Request, answered: bool) -> None:
         """Send the owner's next request and the answer back."""
@@ -281,14 +283,14 @@
         queue = self.queues[endpoint]
         while queue:
             waiting = queue.popleft()
-            if waiting.deadline_ms > self.world.events.now_ms:
+            if waiting.deadline_ms > self.simulation.events.now_ms:
                 self._at_owner(waiting)
                 break
         load = self.in_flight[endpoint] + len(queue)
         delay_ms = self._hop_ms(request)
-        self.world.events.after(delay_ms, self._back, (request, load))
+        self.simulation.events.after(delay_ms, self._back, (request, load))
 
     def _back(self, answer: tuple[Request, int]) -> None:
         request, load = answer
-        request.done_ms = self.world.events.now_ms
+        request.done_ms = self.simulation.events.now_ms
         self.seen[request.node][request.endpoint] = load
--- a/bench/balance_sim.py
+++ b/bench/balance_sim.py
@@ -44,10 +44,10 @@
 class Server:
     """Serve requests in as many slots as one endpoint has."""
 
-    __slots__ = ("busy", "idle", "index", "most", "queue", "slots", "world")
+    __slots__ = ("busy", "idle", "index", "most", "queue", "simulation", "slots")
 
-    def __init__(self, world: "World", index: int, slots: int) -> None:
-        self.world = world
+    def __init__(self, simulation: "Simulation", index: int, slots: int) -> None:
+        self.simulation = simulation
         self.index = index
         self.slots = slots
         self.busy = 0
@@ -62,23 +62,23 @@
         elif len(self.queue) < QUEUE_PER_SLOT * self.slots:
             self.queue.append(job)
         else:
-            self.world.events.after(UPSTREAM_ONE_WAY_MS, _shed, job)
+            self.simulation.events.after(UPSTREAM_ONE_WAY_MS, _shed, job)
         self.most = max(self.most, self.busy + len(self.queue))
 
     def _start(self, job: tuple[Request, Callable[[Request, bool], None]]) -> None:
         self.busy += 1
-        service_ms = job[0].service_ms * self.world.slowness(self.index)
-        self.world.events.after(service_ms, self._end, job)
+        service_ms = job[0].service_ms * self.simulation.slowness(self.index)
+        self.simulation.events.after(service_ms, self._end, job)
 
     def _end(self, job: tuple[Request, Callable[[Request, bool], None]]) -> None:
         self.busy -= 1
-        self.world.events.after(UPSTREAM_ONE_WAY_MS, _answer, job)
+        self.simulation.events.after(UPSTREAM_ONE_WAY_MS, _answer, job)
         while self.queue and self.busy < self.slots:
             waiting = self.queue.popleft()
-            if waiting[0].deadline_ms < self.world.events.now_ms:
-                self.world.events.after(UPSTREAM_ONE_WAY_MS, _shed, waiting)
+            if waiting[0].deadline_ms < self.simulation.events.now_ms:
+                self.simulation.events.after(UPSTREAM_ONE_WAY_MS, _shed, waiting)
                 continue
-            self.world.waited += 1
+            self.simulation.waited += 1
             self._start(waiting)
 
 
@@ -90,7 +90,7 @@
     job[1](job[0], False)
 
 
-class World:
+class Simulation:
     """Hold the endpoints of one service and their lagging reports."""
 
     __slots__ = ("case", "events", "servers", "size", "waited")
--- a/bench/faults.py
+++ b/bench/faults.py
@@ -43,9 +43,9 @@
 
 @dataclass(slots=True)
 class Storm:
-    """Own the faults that are thrown into a running world."""
+    """Own the faults that are thrown into a running cluster."""
 
-    world: DemoCluster
+    cluster: DemoCluster
     findings: Findings
     rng: Random
     thrown: Counter[str]
@@ -54,7 +54,7 @@
     def throw(self) -> None:
         """Set one fault at one upstream, until killed."""
         while True:
-            upstream = self.rng.choice(self.world.upstreams)
+            upstream = self.rng.choice(self.cluster.upstreams)
             fault = self.rng.choice(FAULTS)
             try:
                 call("PUT", f"{upstream.url}/_control", {"faults": [fault]})
@@ -87,7 +87,7 @@
 
     def calm(self) -> None:
         """Take all faults out again."""
-        for upstream in self.world.upstreams:
+        for upstream in self.cluster.upstreams:
             try:
                 call("PUT", f"{upstream.url}/_control", {"faults": []})
             except CALL_ERRORS:
@@ -95,28 +95,28 @@
 
     def drain(self) -> None:
         """Let one upstream tell that it is draining."""
-        for upstream in self.world.upstreams:
+        for upstream in self.cluster.upstreams:
             if upstream.plan.name == DRAINED:
                 call("PUT", f"{upstream.url}/_control", {"draining": True})
                 self.thrown["upstream drained"] += 1
 
 
-def executions(world: DemoCluster) -> list[dict[str, Any]]:
+def executions(cluster: DemoCluster) -> list[dict[str, Any]]:
     """Return every execution at every upstream."""
     found: list[dict[str, Any]] = []
-    for upstream in world.upstreams:
+    for upstream in cluster.upstreams:
         found += call("GET", f"{upstream.url}/_executions").json()["items"]
     return found
 
 
-def storm(world: DemoCluster, options: Options, findings: Findings) -> Storm:
+def storm(cluster: DemoCluster, options: Options, findings: Findings) -> Storm:
     """Run callers and faults side by side."""
     duration_ms = QUICK_MS if options.quick else FULL_MS
     callers = [
-        Caller(index, options.seed, world.nodes, findings) for index in range(CALLERS)
+        Caller(index, options.seed, cluster.nodes, findings) for index in range(CALLERS)
     ]
     jobs = [gevent.spawn(caller.run) for caller in callers]
-    running = Storm(world, findings, Random(options.seed), Counter())
+    running = Storm(cluster, findings, Random(options.seed), Counter())
     thrower = gevent.spawn(running.throw)
     begin_ms = SystemClock().now_ms()
 
@@ -125,11 +125,11 @@
         gevent.sleep(max(0.0, left_ms) / MS_PER_SECOND)
 
     wait_until(STOP_AT)
-    stopping = gevent.spawn(running.stop_node, world.nodes[1])
+    stopping = gevent.spawn(running.stop_node, cluster.nodes[1])
     wait_until(DRAIN_AT)
     running.drain()
     wait_until(KILL_AT)
-    running.kill_node(world.nodes[2])
+    running.kill_node(cluster.nodes[2])
     wait_until(1)
     thrower.kill()
     running.calm()
@@ -194,28 +194,28 @@
     return sent.method == "POST" and times > 1
 
 
-def ready(world: DemoCluster) -> None:
+def ready(cluster: DemoCluster) -> None:
     """Apply the configuration and wait until every node serves."""
-    path = world.write_objects("config.jsonc", world.objects())
-    world.ctl("apply", "-f", path)
-    world.ctl("wait", "client_block_set", "clients", "--for", "in-force")
-    for node in world.nodes:
+    path = cluster.write_objects("config.jsonc", cluster.objects())
+    cluster.ctl("apply", "-f", path)
+    cluster.ctl("wait", "client_block_set", "clients", "--for", "in-force")
+    for node in cluster.nodes:
         url = f"{node.admin_url}/readyz"
-        world.until(lambda url=url: is_answering(url), READY_TIMEOUT_MS)  # type: ignore[misc]
+        cluster.until(lambda url=url: is_answering(url), READY_TIMEOUT_MS)  # type: ignore[misc]
 
 
 def run(options: Options) -> Report:
     """Run the storm and report what it broke."""
     report = Report()
     findings = Findings()
-    world = DemoCluster()
+    cluster = DemoCluster()
     try:
-        world.start()
-        ready(world)
-        running = storm(world, options, findings)
-        judge(report, findings, executions(world))
+        cluster.start()
+        ready(cluster)
+        running = storm(cluster, options, findings)
+        judge(report, findings, executions(cluster))
     finally:
-        world.close()
+        cluster.close()
     if running.exit_code != 0:
         report.broken.append(f"the planned stop exited with {running.exit_code}")
     faults = report.table("Faults thrown", ["fault", "times"])
--- a/bench/keyed.py
+++ b/bench/keyed.py
@@ -86,15 +86,15 @@
         ["way", "p50 ms", "p99 ms", "store writes a booking", "failures"],
     )
     medians: dict[str, float] = {}
-    world = DemoCluster()
+    cluster = DemoCluster()
     try:
-        world.start()
-        ready(world)
+        cluster.start()
+        ready(cluster)
         time.sleep(SETTLE_S)
         ways: list[tuple[str, Booker | Claimer, int]] = [
-            ("booking without a key", Booker(world.nodes[0].url, False), 0),
-            ("booking with a key", Booker(world.nodes[0].url, True), 0),
-            ("claim alone, at the stand-in store", Claimer(world.store_url), 1),
+            ("booking without a key", Booker(cluster.nodes[0].url, False), 0),
+            ("booking with a key", Booker(cluster.nodes[0].url, True), 0),
+            ("claim alone, at the stand-in store", Claimer(cluster.store_url), 1),
         ]
         for name, sender, writes in ways:
             taken = latencies_ms(sender, count)
@@ -102,7 +102,7 @@
             p99 = taken[int(len(taken) * 0.99)]
             table.add(name, medians[name], p99, writes, sender.failures)
     finally:
-        world.close()
+        cluster.close()
     plain, keyed, claim = medians.values()
     report.summary = (
         f"a key adds {keyed - plain:.2f} ms at p50 with no store call; "
--- a/bench/nodes.py
+++ b/bench/nodes.py
@@ -99,7 +99,7 @@
 
 
 @dataclass(slots=True)
-class World:
+class Cluster:
     """Own the processes of one deployment."""
 
     name: str
@@ -170,11 +170,11 @@
     return kept
 
 
-def start_world(name: str, objects: list[dict[str, Any]], directory: Path) -> World:
+def start_cluster(name: str, objects: list[dict[str, Any]], directory: Path) -> Cluster:
     """Start the platform, the upstreams and the nodes."""
     store = Child(serve_platform)
     store_port = store.start()
-    world = World(name, directory, store)
+    cluster = Cluster(name, directory, store)
     slots = {
         o["metadata"]["name"]: o["spec"]["slots"]
         for o in objects
@@ -190,18 +190,18 @@
         child = Child(serve_upstreams, inside)
         for upstream, port in child.start().items():
             specs[upstream]["port"] = port
-        world.upstreams.append(child)
+        cluster.upstreams.append(child)
     for o in objects:
         if o["kind"] == "upstream":
             port = specs[o["metadata"]["name"]]["port"]
             o["spec"]["address"] = f"127.0.0.1:{port}"
-    start_nodes(world, store_port)
-    return world
+    start_nodes(cluster, store_port)
+    return cluster
 
 
-def start_nodes(world: World, store_port: int) -> None:
+def start_nodes(cluster: Cluster, store_port: int) -> None:
     """Start the nodes on free ports and list them as VMs."""
-    paths = sorted((EXAMPLES / world.name / "nodes").glob("*.jsonc"))[:NODES]
+    paths = sorted((EXAMPLES / cluster.name / "nodes").glob("*.jsonc"))[:NODES]
     ports = free_ports(NODE_PORTS * len(paths))
     vms = []
     for path in paths:
@@ -217,15 +217,15 @@
         settings["seed_peers"] = []
         node = settings["node"]
         vms.append({**listen, **node, "site": node["failure_domain"], "state": "live"})
-        target = world.directory / path.name
+        target = cluster.directory / path.name
         target.write_text(json.dumps(settings))
-        world.nodes.append(node_process(path.stem, world.directory, target))
-        world.urls.append(f"http://127.0.0.1:{admin}")
-        world.public_ports.append(public)
+        cluster.nodes.append(node_process(path.stem, cluster.directory, target))
+        cluster.urls.append(f"http://127.0.0.1:{admin}")
+        cluster.public_ports.append(public)
     client.call("PUT", f"http://127.0.0.1:{store_port}/_vms", {"items": vms})
-    for process in world.nodes:
+    for process in cluster.nodes:
         process.start()
-    for url in world.urls:
+    for url in cluster.urls:
         wait_until(lambda url=url: answers(url))
 
 
@@ -247,28 +247,30 @@
     return time.perf_counter() - began
 
 
-def apply_config(world: World, objects: list[dict[str, Any]]) -> float:
+def apply_config(cluster: Cluster, objects: list[dict[str, Any]]) -> float:
     """Write all objects; return the seconds until every node has the last."""
     version = 0
     for o in objects:
-        path = f"{world.urls[0]}/api/v1/{o['kind']}/{o['metadata']['name']}"
+        path = f"{cluster.urls[0]}/api/v1/{o['kind']}/{o['metadata']['name']}"
         reply = client.call("PUT", path, {"spec": o["spec"]})
         assert reply.status == 200, reply.body
         version = reply.json()["metadata"]["version"]
 
     def installed() -> bool:
-        versions = [metrics_of(u).get("bilberry_config_version", 0) for u in world.urls]
+        versions = [
+            metrics_of(u).get("bilberry_config_version", 0) for u in cluster.urls
+        ]
         return min(versions) >= version
 
     return wait_until(installed)
 
 
-def measure_idle(world: World, seconds: float, table: Table) -> None:
+def measure_idle(cluster: Cluster, seconds: float, table: Table) -> None:
     """Add a row on what the nodes use with no caller."""
     time.sleep(SETTLE_S)
-    before = world.usage()
+    before = cluster.usage()
     time.sleep(seconds)
-    after = world.usage()
+    after = cluster.usage()
     passed = after.at_s - before.at_s
     cpu = [
         (late - early) / passed
@@ -278,7 +280,7 @@
     peer = 2 * (after.peer_bytes - before.peer_bytes) / passed / nodes
     store = (after.store_bytes - before.store_bytes) / passed / nodes
     table.add(
-        world.name,
+        cluster.name,
         100 * sum(cpu) / nodes,
         100 * max(cpu),
         max(after.memory_bytes) / BYTES_PER_MB,
@@ -288,9 +290,9 @@
     )
 
 
-def measure_load(world: World, path: str, duration_ms: int) -> list[LoadResult]:
+def measure_load(cluster: Cluster, path: str, duration_ms: int) -> list[LoadResult]:
     """Return the results of loading all nodes."""
-    driver = Child(drive, world.public_ports, path, duration_ms)
+    driver = Child(drive, cluster.public_ports, path, duration_ms)
     driver.start()
     results: list[LoadResult] = driver.receive(duration_ms / 1_000 + 30)
     driver.close()
@@ -298,12 +300,17 @@
 
 
 def add_load_row(
-    world: World, label: str, path: str, duration_ms: int, table: Table, report: Report
+    cluster: Cluster,
+    label: str,
+    path: str,
+    duration_ms: int,
+    table: Table,
+    report: Report,
 ) -> None:
     """Load the nodes with one kind of request and add a row."""
-    before = world.usage()
-    results = measure_load(world, path, duration_ms)
-    after = world.usage()
+    before = cluster.usage()
+    results = measure_load(cluster, path, duration_ms)
+    after = cluster.usage()
     latencies = [ms for result in results for ms in result.latencies_ms]
     merged = LoadResult(seconds=1.0, latencies_ms=latencies)
     count = len(latencies)
@@ -311,9 +318,9 @@
     shed = sum(result.statuses.get(503, 0) for result in results)
     cpu_s = sum(after.cpu_s) - sum(before.cpu_s)
     if count != good + shed or any(result.failures for result in results):
-        report.broken.append(f"{world.name} {label}: answers other than 200 and 503")
+        report.broken.append(f"{cluster.name} {label}: answers other than 200 and 503")
     table.add(
-        world.name,
+        cluster.name,
         label,
         count / (duration_ms / 1_000),
         100 * good / max(1, count),
@@ -352,16 +359,16 @@
         objects = load_config(name, options.seed)
         service = next(o for o in objects if o["kind"] == "service")["metadata"]["name"]
         with tempfile.TemporaryDirectory() as folder:
-            world = start_world(name, objects, Path(folder))
+            cluster = start_cluster(name, objects, Path(folder))
             try:
-                spread.add(name, len(objects), apply_config(world, objects))
-                measure_idle(world, idle_s, idle)
+                spread.add(name, len(objects), apply_config(cluster, objects))
+                measure_idle(cluster, idle_s, idle)
                 look_up = f"/v1/lookup?service={service}&client=11.0.0.1"
-                add_load_row(world, "look-up", look_up, load_ms, busy, report)
+                add_load_row(cluster, "look-up", look_up, load_ms, busy, report)
                 forward = f"/s/{service}/x"
-                add_load_row(world, "forward", forward, load_ms, busy, report)
+                add_load_row(cluster, "forward", forward, load_ms, busy, report)
             finally:
-                world.close()
+                cluster.close()
     worst = max(float(row[2]) for row in idle.rows)
     report.summary = f"idle control takes at most {worst:.1f}% of a core per node"
     return report
--- a/bench/steering.py
+++ b/bench/steering.py
@@ -15,6 +15,7 @@
 from bilberry_steering.topology import regions_by_distance
 
 from .report import Options, Report
+from .steering_deployments import Deployment, arcq, cdra, target
 from .steering_interleavings import EscrowModel, random_operation
 from .steering_metrics import Metrics
 from .steering_planned import OURS, WARM_UP_MS
@@ -26,7 +27,6 @@
     shift_intent,
 )
 from .steering_table import measure_table
-from .steering_worlds import Deployment, arcq, cdra, target
 
 QUICK_TARGET_SCENARIOS = ("planned shift", "region lost")
 QUICK_TARGET_MS = 100_000
--- a/bench/steering_metrics.py
+++ b/bench/steering_metrics.py
@@ -6,8 +6,8 @@
 from bilberry_steering.resources import link_resource
 from bilberry_steering.topology import one_way_delay_ms
 
+from .steering_deployments import Deployment
 from .steering_policies import Flow, Moment
-from .steering_worlds import Deployment
 
 TOLERANCE = 1e-6
 Shares = dict[str, dict[str, float]]
--- a/bench/steering_planned.py
+++ b/bench/steering_planned.py
@@ -12,8 +12,8 @@
 from bilberry_steering.node import NodeSteering
 from bilberry_steering.planner import Planner
 
+from .steering_deployments import Deployment
 from .steering_policies import POLICIES, Flow, Moment, Policy
-from .steering_worlds import Deployment
 
 OURS = "bilberry"
 REPORT_INTERVAL_MS = 5_000
--- a/bench/steering_policies.py
+++ b/bench/steering_policies.py
@@ -14,7 +14,7 @@
 from bilberry_resources.kinds.intents import IntentSpec
 from bilberry_steering.topology import regions_by_distance
 
-from .steering_worlds import Deployment
+from .steering_deployments import Deployment
 
 REQUIRED_SHARE = 0.4
 
--- a/bench/steering_scenarios.py
+++ b/bench/steering_scenarios.py
@@ -4,7 +4,7 @@
 
 from bilberry_resources.kinds.intents import IntentSpec, ShiftStepLimit
 
-from .steering_worlds import Deployment
+from .steering_deployments import Deployment
 
 NORMAL_LAG_MS = 1_000
 STALE_LAG_MS = 30_000
--- a/scenarios/callers.py
+++ b/scenarios/callers.py
@@ -78,8 +78,8 @@
 class SteadyCallers:
     """Send requests from many addresses until closed."""
 
-    def __init__(self, world, service, sources, nodes, gap_ms=10):
-        self.world = world
+    def __init__(self, cluster, service, sources, nodes, gap_ms=10):
+        self.cluster = cluster
         self.service = service
         self.sources = sources
         self.nodes = nodes
@@ -106,7 +106,7 @@
         number = 0
         while self.running:
             source = self.sources[number % len(self.sources)]
-            kept = PersistentConnection(self.world.url(node), source)
+            kept = PersistentConnection(self.cluster.url(node), source)
             request_id = f"{node}-{number}"
             path = f"/repairs/{number}"
             self.exchanges.append(kept.exchange(self.service, path, request_id))
--- a/scenarios/world.py
+++ b/scenarios/cluster.py
@@ -47,7 +47,7 @@
 }
 
 
-class World:
+class Cluster:
     """Run a store, upstreams and nodes in this process and call them."""
 
     def __init__(self, directory, host="127.1.0.1"):
@@ -221,7 +221,7 @@
     return Control(slots=SLOTS, service_ms=SERVICE_MS, crash_down_ms=300)
 
 
-class WorldPool:
+class ClusterPool:
     """Start deployments in advance for later scenarios."""
 
     def __init__(self, make_directory, size):
@@ -233,13 +233,13 @@
     def take(self):
         while len(self.warming) <= self.size:
             self.made += 1
-            world = World(self.make_directory(), f"127.1.{self.made}.1")
-            self.warming.append((world, gevent.spawn(world.start)))
-        world, starting = self.warming.popleft()
+            cluster = Cluster(self.make_directory(), f"127.1.{self.made}.1")
+            self.warming.append((cluster, gevent.spawn(cluster.start)))
+        cluster, starting = self.warming.popleft()
         starting.get()
-        return world
+        return cluster
 
     def close(self):
-        for world, starting in self.warming:
+        for cluster, starting in self.warming:
             starting.kill()
-            world.close()
+            cluster.close()
--- a/scenarios/conftest.py
+++ b/scenarios/conftest.py
@@ -7,9 +7,9 @@
 from bilberry_testing.platform.messages import Faults
 
 from .callers import SteadyCallers, failures
-from .world import WorldPool
+from .cluster import ClusterPool
 
-WORLDS_AHEAD = 1
+CLUSTERS_AHEAD = 1
 WARM_UP_S = 3
 
 SOURCES = {
@@ -20,20 +20,20 @@
 
 @pytest.fixture(scope="session")
 def pool(tmp_path_factory):
-    made = WorldPool(lambda: tmp_path_factory.mktemp("world"), WORLDS_AHEAD)
+    made = ClusterPool(lambda: tmp_path_factory.mktemp("cluster"), CLUSTERS_AHEAD)
     yield made
     made.close()
 
 
 @pytest.fixture
-def world(pool):
+def cluster(pool):
     taken = pool.take()
     yield taken
     taken.close()
 
 
 @pytest.fixture(scope="module")
-def shared_world(pool):
+def shared_cluster(pool):
     """Return a deployment shared by scenarios that keep its members."""
     taken = pool.take()
     yield taken
@@ -41,13 +41,13 @@
 
 
 @pytest.fixture
-def reused_world(shared_world):
-    shared_world.reset_upstreams()
-    return shared_world
+def reused_cluster(shared_cluster):
+    shared_cluster.reset_upstreams()
+    return shared_cluster
 
 
 @pytest.fixture
-def steady(world):
+def steady(cluster):
     started = []
     yield started
     for callers in started:
@@ -55,13 +55,13 @@
 
 
 @given("the ARCQ deployment with regions mtl and qc")
-def deployment(world):
-    return world
+def deployment(cluster):
+    return cluster
 
 
 @given(parsers.parse("callers near {region} who have long been asking for {service}"))
-def keep_asking(world, steady, region, service):
-    callers = SteadyCallers(world, service, SOURCES[region], list(world.nodes))
+def keep_asking(cluster, steady, region, service):
+    callers = SteadyCallers(cluster, service, SOURCES[region], list(cluster.nodes))
     callers.start()
     steady.append(callers)
     gevent.sleep(WARM_UP_S)
@@ -70,24 +70,24 @@
 
 @given("the store is down")
 @when("the store goes down")
-def store_down(world):
-    world.platform.set_faults(Faults(down=True))
+def store_down(cluster):
+    cluster.platform.set_faults(Faults(down=True))
 
 
 @when("the store comes back")
-def store_back(world):
-    world.platform.set_faults(Faults())
+def store_back(cluster):
+    cluster.platform.set_faults(Faults())
 
 
 @when(parsers.parse("the operator drains {target}"))
-def drain(world, target):
-    world.ctl("drain", target)
-    assert world.exit_codes[-1] == 0, world.outputs[-1]
+def drain(cluster, target):
+    cluster.ctl("drain", target)
+    assert cluster.exit_codes[-1] == 0, cluster.outputs[-1]
 
 
 @then(parsers.parse("the command ends with exit code {code:d}"))
-def check_exit_code(world, code):
-    assert world.exit_codes[-1] == code, world.outputs[-1]
+def check_exit_code(cluster, code):
+    assert cluster.exit_codes[-1] == code, cluster.outputs[-1]
 
 
 @then("no caller was failed")
--- a/scenarios/test_at_most_once.py
+++ b/scenarios/test_at_most_once.py
@@ -11,30 +11,30 @@
 
 
 @pytest.fixture
-def world(reused_world):
-    return reused_world
+def cluster(reused_cluster):
+    return reused_cluster
 
 
 SERVICE_MS = 400
 BOOKING_STATES = {
-    "runs": lambda world, key, call: world.executions(idempotency_key=key),
-    "is answered": lambda world, key, call: call.ready(),
+    "runs": lambda cluster, key, call: cluster.executions(idempotency_key=key),
+    "is answered": lambda cluster, key, call: call.ready(),
 }
 
 
-def book(world, node, key, body, service_ms=SERVICE_MS):
+def book(cluster, node, key, body, service_ms=SERVICE_MS):
     headers = {"Idempotency-Key": key}
     path = f"/bookings?service_ms={service_ms}"
     try:
-        return world.send(node, "reserve", path, "POST", body, headers=headers)
+        return cluster.send(node, "reserve", path, "POST", body, headers=headers)
     except CALL_ERRORS as error:
         return error
 
 
 @given(parsers.parse("upstreams of {service} with {slots:d} slot and no queue"))
-def few_slots(world, service, slots):
-    for upstream in world.pool(service):
-        world.set_control(upstream, slots=slots, queue=0)
+def few_slots(cluster, service, slots):
+    for upstream in cluster.pool(service):
+        cluster.set_control(upstream, slots=slots, queue=0)
 
 
 @when(
@@ -44,33 +44,33 @@
     ),
     target_fixture="booking",
 )
-def book_twice(world, first, state, second):
-    key = new_uuid7(world.clock)
-    one = gevent.spawn(book, world, first, key, b"bench 4")
+def book_twice(cluster, first, state, second):
+    key = new_uuid7(cluster.clock)
+    one = gevent.spawn(book, cluster, first, key, b"bench 4")
     with gevent.Timeout(10, AssertionError(f"the first booking never {state}")):
-        while not BOOKING_STATES[state](world, key, one):
+        while not BOOKING_STATES[state](cluster, key, one):
             gevent.sleep(0.005)
-    two = gevent.spawn(book, world, second, key, b"bench 4")
+    two = gevent.spawn(book, cluster, second, key, b"bench 4")
     gevent.joinall([one, two], timeout=10)
     return key, one.value, two.value
 
 
 @when("a shop reuses its key for another booking", target_fixture="second")
-def reuse_key(world):
-    key = new_uuid7(world.clock)
-    assert book(world, "mtl-1", key, b"bench 4", 1).status == 200
-    return book(world, "mtl-2", key, b"bench 5", 1)
+def reuse_key(cluster):
+    key = new_uuid7(cluster.clock)
+    assert book(cluster, "mtl-1", key, b"bench 4", 1).status == 200
+    return book(cluster, "mtl-2", key, b"bench 5", 1)
 
 
 @when(
     parsers.parse("{count:d} shops book at once through all nodes"),
     target_fixture="bookings",
 )
-def book_many(world, count):
-    names = list(world.nodes)
-    keys = [new_uuid7(world.clock) for _ in range(count)]
+def book_many(cluster, count):
+    names = list(cluster.nodes)
+    keys = [new_uuid7(cluster.clock) for _ in range(count)]
     calls = [
-        gevent.spawn(book, world, names[i % len(names)], key, key.encode(), 100)
+        gevent.spawn(book, cluster, names[i % len(names)], key, key.encode(), 100)
         for i, key in enumerate(keys)
     ]
     gevent.joinall(calls, timeout=20)
@@ -86,8 +86,8 @@
 
 
 @then("the booking ran once")
-def ran_once(world, booking):
-    assert len(world.executions(idempotency_key=booking[0])) == 1
+def ran_once(cluster, booking):
+    assert len(cluster.executions(idempotency_key=booking[0])) == 1
 
 
 @then(parsers.parse("the second booking is answered {status:d} {outcome}"))
@@ -97,25 +97,25 @@
 
 
 @then("no booking ran twice")
-def none_ran_twice(world, bookings):
+def none_ran_twice(cluster, bookings):
     for key in bookings:
-        assert len(world.executions(idempotency_key=key)) <= 1
+        assert len(cluster.executions(idempotency_key=key)) <= 1
 
 
 @then("no booking called not-run ran")
-def not_run_is_true(world, bookings):
+def not_run_is_true(cluster, bookings):
     refused = [k for k, r in bookings.items() if outcome_of(r) == "not-run"]
     assert refused
     for key in refused:
-        assert world.executions(idempotency_key=key) == []
+        assert cluster.executions(idempotency_key=key) == []
 
 
 @then("every booking that was answered ran")
-def answered_ran(world, bookings):
+def answered_ran(cluster, bookings):
     answered = [k for k, r in bookings.items() if outcome_of(r) == "run"]
     assert answered
     for key in answered:
-        assert len(world.executions(idempotency_key=key)) == 1
+        assert len(cluster.executions(idempotency_key=key)) == 1
 
 
 def outcome_of(reply):
--- a/scenarios/test_crash.py
+++ b/scenarios/test_crash.py
@@ -12,8 +12,8 @@
 
 
 @given(parsers.parse("each upstream of {service} crashes on {path}"))
-def crashes_on(world, service, path):
-    for upstream in world.pool(service):
+def crashes_on(cluster, service, path):
+    for upstream in cluster.pool(service):
         fault = Fault(action=FaultAction.CRASH, path=path)
         upstream.model.control.faults.append(fault)
 
@@ -22,20 +22,20 @@
     parsers.parse("the caller sends {path} {count:d} times through all nodes"),
     target_fixture="replies",
 )
-def send_poison(world, path, count):
-    return send_with_gap(world, path, count, RESEND_GAP_MS)
+def send_poison(cluster, path, count):
+    return send_with_gap(cluster, path, count, RESEND_GAP_MS)
 
 
 @when(
     parsers.parse("the caller sends {path} {count:d} times, {gap_ms:d} ms apart"),
     target_fixture="replies",
 )
-def send_with_gap(world, path, count, gap_ms):
+def send_with_gap(cluster, path, count, gap_ms):
     replies = []
-    names = list(world.nodes)
+    names = list(cluster.nodes)
     for number in range(count):
         try:
-            replies.append(world.send(names[number % len(names)], "suivi", path))
+            replies.append(cluster.send(names[number % len(names)], "suivi", path))
         except CALL_ERRORS as error:
             replies.append(error)
         gevent.sleep(gap_ms / 1_000)
@@ -43,8 +43,8 @@
 
 
 @then(parsers.parse("at most {count:d} upstreams of {service} crashed"))
-def few_crashed(world, count, service):
-    crashes = [u.model.counters.crashed for u in world.pool(service)]
+def few_crashed(cluster, count, service):
+    crashes = [u.model.counters.crashed for u in cluster.pool(service)]
     assert sum(crashes) <= count
 
 
@@ -57,8 +57,8 @@
 
 
 @then(parsers.parse("{delay_ms:d} ms later requests of other callers are answered"))
-def others_answered(world, delay_ms):
+def others_answered(cluster, delay_ms):
     gevent.sleep(delay_ms / 1_000)
     for number in range(12):
-        node = list(world.nodes)[number % len(world.nodes)]
-        assert world.send(node, "suivi", f"/repairs/{number}").status == 200
+        node = list(cluster.nodes)[number % len(cluster.nodes)]
+        assert cluster.send(node, "suivi", f"/repairs/{number}").status == 200
--- a/scenarios/test_look_up.py
+++ b/scenarios/test_look_up.py
@@ -9,14 +9,14 @@
     parsers.parse("a player near {region} asks which VMs serve {service}"),
     target_fixture="reply",
 )
-def ask(world, region, service):
-    return world.look_up(service, region)
+def ask(cluster, region, service):
+    return cluster.look_up(service, region)
 
 
 @when(parsers.parse("the platform lists {name} as leaving"))
-def list_as_leaving(world, name):
-    world.leaving.add(name)
-    world.publish_vms()
+def list_as_leaving(cluster, name):
+    cluster.leaving.add(name)
+    cluster.publish_vms()
 
 
 @then(parsers.parse("the first VM named is in {region}"))
@@ -31,14 +31,14 @@
 
 
 @then(parsers.parse("within {limit_ms:d} ms no node names {name}"))
-def not_named(world, limit_ms, name):
-    others = [node for node in world.nodes if node != name]
+def not_named(cluster, limit_ms, name):
+    others = [node for node in cluster.nodes if node != name]
 
     def names_it(node):
-        reply = world.look_up("suivi", "mtl", node)
+        reply = cluster.look_up("suivi", "mtl", node)
         return name in [vm["name"] for vm in reply.json()["vms"]]
 
-    world.until(lambda: not any(names_it(node) for node in others), limit_ms)
+    cluster.until(lambda: not any(names_it(node) for node in others), limit_ms)
 
 
 @then(parsers.parse("the look-up is answered with {status:d}"))
--- a/scenarios/test_shift.py
+++ b/scenarios/test_shift.py
@@ -24,7 +24,7 @@
         "at most {cap:d}% a step"
     )
 )
-def move(world, percent, service, source, target, cap):
+def move(cluster, percent, service, source, target, cap):
     intent = make_object(
         KIND_INTENT,
         "shift",
@@ -34,26 +34,26 @@
         step_ms=STEP_MS,
         soak_ms=STEP_MS // 2,
     )
-    assert world.apply(intent) == 0, world.outputs[-1]
+    assert cluster.apply(intent) == 0, cluster.outputs[-1]
 
 
 @then(parsers.parse("no step moves more than {cap:d}% of the callers"))
-def steps_within_cap(world, steady, cap):
+def steps_within_cap(cluster, steady, cap):
     (callers,) = steady
     shares = []
     for _ in range(MAX_SAMPLES):
         gevent.sleep(SAMPLE_MS / 1_000)
         counts = regions_of(callers.exchanges[-callers.round_size :])
         shares.append(counts["qc"] / max(counts.total(), 1))
-        if is_complete(world):
+        if is_complete(cluster):
             break
     jumps = [b - a for a, b in pairwise(shares)]
     assert max(jumps, default=0) <= cap / 100 + SAMPLING_ERROR, shares
 
 
 @then(parsers.parse("the intent is complete with {percent:d}% served in {region}"))
-def complete(world, steady, percent, region):
-    world.until(lambda: is_complete(world), 10_000)
+def complete(cluster, steady, percent, region):
+    cluster.until(lambda: is_complete(cluster), 10_000)
     (callers,) = steady
     before = len(callers.exchanges)
     gevent.sleep(2)
@@ -62,6 +62,6 @@
     assert abs(share - percent / 100) <= SAMPLING_ERROR, counts
 
 
-def is_complete(world):
-    world.ctl("wait", "intent", "shift", "--for", "complete", "--timeout-ms", "1")
-    return world.exit_codes[-1] == 0
+def is_complete(cluster):
+    cluster.ctl("wait", "intent", "shift", "--for", "complete", "--timeout-ms", "1")
+    return cluster.exit_codes[-1] == 0
--- a/scenarios/test_store_outage.py
+++ b/scenarios/test_store_outage.py
@@ -21,46 +21,46 @@
 
 
 @given(parsers.parse("the store loses the replies to the next {count:d} writes"))
-def lose_replies(world, count):
-    world.platform.set_faults(Faults(lose_reply=count))
+def lose_replies(cluster, count):
+    cluster.platform.set_faults(Faults(lose_reply=count))
 
 
 @when("the operator tries to add a region")
-def try_to_add(world, region):
-    world.apply(region, options=("--retry-ms", "0"))
+def try_to_add(cluster, region):
+    cluster.apply(region, options=("--retry-ms", "0"))
 
 
 @when("the operator adds the region again")
 @when("the operator adds a region")
-def add(world, region):
-    world.apply(region)
+def add(cluster, region):
+    cluster.apply(region)
 
 
 @when(parsers.parse("{name} is replaced"))
-def replace(world, name):
-    node = world.nodes.pop(name)
+def replace(cluster, name):
+    node = cluster.nodes.pop(name)
     node.force_shutdown()
     node.close()
-    world.start_node(name)
+    cluster.start_node(name)
 
 
 @then("the operator is told that it was not run")
-def told_not_run(world):
-    assert "not-run" in world.outputs[-1]
+def told_not_run(cluster):
+    assert "not-run" in cluster.outputs[-1]
 
 
 @then("the region is stored")
-def is_stored(world):
-    assert isinstance(world.platform.table.get(KIND_REGION, REGION), Success)
+def is_stored(cluster):
+    assert isinstance(cluster.platform.table.get(KIND_REGION, REGION), Success)
 
 
 @then(parsers.parse("{name} serves look-ups within {limit_ms:d} ms"))
-def serves(world, name, limit_ms):
+def serves(cluster, name, limit_ms):
     def answers():
         try:
-            return world.look_up("suivi", "mtl", name).status == 200
+            return cluster.look_up("suivi", "mtl", name).status == 200
         except CALL_ERRORS:
             gevent.sleep(0.05)
             return False
 
-    world.until(answers, limit_ms)
+    cluster.until(answers, limit_ms)
--- a/scenarios/test_whole_answers.py
+++ b/scenarios/test_whole_answers.py
@@ -12,31 +12,31 @@
 
 
 @pytest.fixture
-def world(reused_world):
-    return reused_world
+def cluster(reused_cluster):
+    return reused_cluster
 
 
 @given(parsers.parse("upstreams of {service} that take {low:d} to {high:d} ms"))
-def take_between(world, service, low, high):
+def take_between(cluster, service, low, high):
     middle = (low + high) / 2
     jitter = (high - low) / 2 / middle
-    for upstream in world.pool(service):
-        world.set_control(upstream, service_ms=round(middle), service_jitter=jitter)
+    for upstream in cluster.pool(service):
+        cluster.set_control(upstream, service_ms=round(middle), service_jitter=jitter)
 
 
 @given(
     parsers.parse("each upstream of {service} cuts its next answer after {n:d} bytes")
 )
-def cut(world, service, n):
-    for upstream in world.pool(service):
+def cut(cluster, service, n):
+    for upstream in cluster.pool(service):
         fault = Fault(action=FaultAction.TRUNCATE, after_bytes=n, count=1)
         upstream.model.control.faults.append(fault)
 
 
 @given(parsers.parse("upstream {name} cuts its next answer after {n:d} bytes"))
-def cut_one(world, name, n):
+def cut_one(cluster, name, n):
     fault = Fault(action=FaultAction.TRUNCATE, after_bytes=n, count=1)
-    world.upstreams[name].model.control.faults.append(fault)
+    cluster.upstreams[name].model.control.faults.append(fault)
 
 
 @given(
@@ -44,8 +44,8 @@
         "each upstream of {service} sends a stray answer after its next {n:d} answers"
     )
 )
-def stray(world, service, n):
-    for upstream in world.pool(service):
+def stray(cluster, service, n):
+    for upstream in cluster.pool(service):
         fault = Fault(action=FaultAction.GARBAGE, count=n)
         upstream.model.control.faults.append(fault)
 
@@ -54,13 +54,13 @@
     parsers.parse("{callers:d} callers send {count:d} requests each through all nodes"),
     target_fixture="exchanges",
 )
-def send_many(world, callers, count):
+def send_many(cluster, callers, count):
     done = []
 
     def run(number):
-        node = list(world.nodes)[number % len(world.nodes)]
+        node = list(cluster.nodes)[number % len(cluster.nodes)]
         kept = PersistentConnection(
-            world.url(node), f"127.0.{1 + number % 2}.{number + 1}"
+            cluster.url(node), f"127.0.{1 + number % 2}.{number + 1}"
         )
         for turn in range(count):
             request_id = f"c{number}-{turn}"
@@ -76,8 +76,8 @@
 
 
 @when(parsers.parse("a shop books bench time through {node}"), target_fixture="booking")
-def book(world, node):
-    kept = PersistentConnection(world.url(node))
+def book(cluster, node):
+    kept = PersistentConnection(cluster.url(node))
     booking = kept.exchange("reserve", "/bookings", "b1", "POST", b'{"bench":4}')
     kept.close()
     return booking
@@ -87,8 +87,8 @@
     parsers.parse("a shop uploads {up:d} bytes and gets {down:d} bytes back"),
     target_fixture="exchanges",
 )
-def transfer(world, up, down):
-    kept = PersistentConnection(world.url("mtl-1"))
+def transfer(cluster, up, down):
+    kept = PersistentConnection(cluster.url("mtl-1"))
     path = f"/photos/1?response_bytes={down}"
     done = kept.exchange("suivi", path, "p1", "PUT", b"p" * up)
     kept.close()
--- a/tests/bench/test_balance.py
+++ b/tests/bench/test_balance.py
@@ -4,7 +4,7 @@
 from bench.balance_keys import measure_owner
 from bench.balance_model import CASES, SERVICES, make_requests
 from bench.balance_options import OPTIONS
-from bench.balance_sim import World
+from bench.balance_sim import Simulation
 
 HANDOVER = next(size for size in SERVICES if size.name == "handover")
 CASE_80 = next(case for case in CASES if case.name == "80%")
@@ -12,13 +12,13 @@
 
 @pytest.mark.parametrize("option", OPTIONS)
 def test_every_option_ends_all_it_admits(option):
-    world = World(HANDOVER, CASE_80)
+    simulation = Simulation(HANDOVER, CASE_80)
     requests = make_requests(HANDOVER, CASE_80, 300, seed=1)
-    router = OPTIONS[option](world, 1)
+    router = OPTIONS[option](simulation, 1)
     for request in requests:
-        world.events.after(request.arrived_ms, router.arrive, request)
-    world.events.run_all()
-    assert all(server.busy == 0 and not server.queue for server in world.servers)
+        simulation.events.after(request.arrived_ms, router.arrive, request)
+    simulation.events.run_all()
+    assert all(server.busy == 0 and not server.queue for server in simulation.servers)
     in_time = [r for r in requests if r.done_ms and r.done_ms <= r.deadline_ms]
     assert len(in_time) > 0.8 * len(requests)
 
