--- a/packages/bilberry_router/src/bilberry_router/entry/answer_checks.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/answer_checks.py
@@ -10,6 +10,8 @@
 from .messages import HeaderNames
 
 STATUS_OK = range(200, 300)
+# The upstream may have crashed while it ran the request.
+LOST_ANSWER_POINTS = frozenset({FailurePoint.AWAITING_ANSWER, FailurePoint.MID_ANSWER})
 
 
 def answer_failure_point(
--- a/packages/bilberry_router/src/bilberry_router/entry/events.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/events.py
@@ -78,7 +78,8 @@
 
     `load` is the upstream's load as known to this node when the attempt was
     sent, `report_age_ms` the age of its load report at that time, and
-    `retries` is whether another attempt follows.
+    `retries` is whether another attempt follows. `fingerprint` is that of a
+    request whose answer was lost, as its repeats may crash other upstreams.
     """
 
     upstream: str
@@ -90,6 +91,7 @@
     load: int
     report_age_ms: int
     retries: bool
+    fingerprint: str = ""
 
     def text(self) -> str:
         """Return the event as a sentence."""
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -18,7 +18,11 @@
     disconnect_hook,
     placement_request,
 )
-from .answer_checks import answer_failure_point, is_server_error
+from .answer_checks import (
+    LOST_ANSWER_POINTS,
+    answer_failure_point,
+    is_server_error,
+)
 from .answer_memory import HeldAnswer
 from .answers import (
     DRAINING_RETRY_MS,
@@ -43,7 +47,6 @@
 
 HEADER_HOST = "host"
 NO_CONFIG_RETRY_MS = 500
-LOST_ANSWER_POINTS = frozenset({FailurePoint.AWAITING_ANSWER, FailurePoint.MID_ANSWER})
 
 
 class Forwarder:
--- a/packages/bilberry_router/src/bilberry_router/entry/request_log.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/request_log.py
@@ -5,6 +5,7 @@
 from bilberry_balance.placement.candidates import Selection
 
 from .active_request import ActiveRequest, AttemptRecord, placement_request
+from .answer_checks import LOST_ANSWER_POINTS
 from .const import PROMPT_ANSWERS_PER_SAMPLE
 from .counts import END_UPSTREAM_FAILED
 from .events import UPSTREAM_ANSWER_CAUSE, AttemptFailed, RequestEnded, log_event
@@ -71,6 +72,9 @@
             load=record.load,
             report_age_ms=record.report_age_ms,
             retries=record.will_retry,
+            fingerprint=active.fingerprint()
+            if outcome.point in LOST_ANSWER_POINTS
+            else "",
         )
         log_event(active.request_id, event)
 
--- a/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
@@ -1,5 +1,6 @@
 """Simulate an upstream that runs requests in slots and queues a few."""
 
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -62,6 +63,7 @@
 
     __slots__ = (
         "clock",
+        "connections",
         "faults",
         "header_names",
         "name",
@@ -100,6 +102,7 @@
         self.served_requests: list[ServedRequest] = []
         self.warm_keys: set[str] = set()
         self.faults = UpstreamFaults()
+        self.connections: set[Connection] = set()
         self.server = StreamServer(address, self.serve)
 
     @property
@@ -115,15 +118,24 @@
         """Stop listening and close all connections."""
         self.server.stop(timeout=0)
 
+    def crash(self) -> None:
+        """End as a killed process does: reset all connections, stop listening."""
+        self.server.close()
+        for connection in list(self.connections):
+            connection.abort()
+            connection.sock.shutdown(socket.SHUT_RDWR)
+
     def serve(self, sock: Any, address: Any) -> None:
         """Serve one connection."""
         connection = Connection(sock, self.clock)
+        self.connections.add(connection)
         try:
             while self.serve_request(connection):
                 pass
         except (ConnectionLostError, OSError):
             connection.abort()
         finally:
+            self.connections.discard(connection)
             sock.close()
 
     def serve_request(self, connection: Connection) -> bool:
--- a/tests/bilberry_platform/common.py
+++ b/tests/bilberry_platform/common.py
@@ -1,5 +1,7 @@
 """Helpers that run complete nodes with a fake store and upstreams."""
 
+import socket
+
 from bilberry_balance.placement.distances import Location
 from bilberry_core.clock import SystemClock
 from bilberry_platform.config import decode_config
@@ -29,6 +31,13 @@
 LOCAL = "127.0.0.1:0"
 
 
+def free_udp_address():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        host, port = sock.getsockname()
+    return f"{host}:{port}"
+
+
 class Deployment:
     """Run a store, upstreams and nodes in this process."""
 
@@ -90,7 +99,8 @@
             directory_path=PATH_DIRECTORY,
         )
         bounds = SharedLimits(0.2, 60, 10_000, 0.15, self.grace_ms)
-        addresses = NodeAddresses(LOCAL, LOCAL, LOCAL, LOCAL, LOCAL)
+        peer = free_udp_address()
+        addresses = NodeAddresses(LOCAL, LOCAL, LOCAL, peer, LOCAL)
         place = Location(zone, ZONES[zone])
         run_id = f"run-{len(self.nodes)}"
         node = EntryNode(name, run_id, place, addresses, bounds, platform, self.clock)
--- /dev/null
+++ b/tests/bilberry_platform/test_crashing_requests.py
@@ -0,0 +1,76 @@
+"""Requests that crash upstreams are refused by all nodes, others by none."""
+
+import gevent
+
+from bilberry_platform.const import HEADER_NAMES
+
+from .common import Deployment, fetch
+
+NODES = ("n1", "n2", "n3", "n4")
+POISON = "/read/poison"
+CRASHES_ALLOWED = 3
+QUARANTINED = b"request quarantined"
+SAME_OBJECT = (f"{HEADER_NAMES.affinity}: k",)
+
+
+class CrashingFleet(Deployment):
+    """Run four nodes and upstreams that `POISON` ends."""
+
+    def __init__(self, upstreams=24):
+        super().__init__(upstreams)
+        self.crashed = []
+        for upstream in self.upstreams:
+            upstream.on_run = self.crash_on_poison(upstream)
+
+    def __enter__(self):
+        super().__enter__()
+        for name in NODES:
+            self.node(name)
+        return self
+
+    def crash_on_poison(self, upstream):
+        def crash_if_poison(served):
+            if served.target == POISON:
+                self.crashed.append(upstream.name)
+                upstream.crash()
+
+        return crash_if_poison
+
+    def ask(self, node, target=POISON):
+        return fetch(node.entry_listener, target, headers=SAME_OBJECT)
+
+    def is_refused(self, answer):
+        return answer.status == 503 and QUARANTINED in answer.body
+
+
+def test_a_crashing_request_costs_three_upstreams_at_four_nodes():
+    with CrashingFleet() as fleet:
+        refused = 0
+        for index in range(40):
+            answer = fleet.ask(fleet.nodes[index % len(NODES)])
+            refused = refused + 1 if fleet.is_refused(answer) else 0
+            if refused == len(NODES):
+                break
+            gevent.sleep(0.05)
+        assert len(fleet.crashed) == CRASHES_ALLOWED
+        assert refused == len(NODES)
+
+
+def test_a_harmless_request_sent_again_beside_it_is_never_quarantined():
+    with CrashingFleet() as fleet:
+        for upstream in fleet.upstreams:
+            upstream.work_ms = 40
+        harmless = []
+        for round_number in range(12):
+            jobs = []
+            for node in fleet.nodes:
+                jobs.append(gevent.spawn(fleet.ask, node, "/read/harmless"))
+                jobs.append(gevent.spawn(fleet.ask, node))
+            gevent.joinall(jobs)
+            harmless += [job.value for job in jobs[::2]]
+            if all(fleet.is_refused(job.value) for job in jobs[1::2]):
+                break
+        assert not any(fleet.is_refused(answer) for answer in harmless)
+        assert all(
+            fleet.ask(node, "/read/harmless").status == 200 for node in fleet.nodes
+        )
