Take repeats from other addresses for the same request

Cause: the fingerprint of a request covered its caller's address. Its copies came from ten and more addresses, so that each had a fingerprint of its own and none reached three crashes.

Ruled out: paths that differ.

Change: the fingerprint is of method, host, target and body. The address was used for nothing else, and is no longer kept.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/crashes.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/crashes.py
@@ -118,6 +118,9 @@
             self.lost_answers.popleft()
 
 
-def fingerprint_of(caller: str, method: str, target: str, body: bytes) -> str:
-    """Return the fingerprint that all repeats of a request share."""
-    return request_fingerprint(f"{caller} {method}", target, body)
+def fingerprint_of(method: str, host: str, target: str, body: bytes) -> str:
+    """Return the fingerprint that all repeats of a request share.
+
+    Its caller's address is no part of it, as a repeat may come from another.
+    """
+    return request_fingerprint(f"{method} {host}", target, body)
--- a/packages/bilberry_router/src/bilberry_router/entry/active_request.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/active_request.py
@@ -7,6 +7,7 @@
 from bilberry_balance.placement.crashes import fingerprint_of
 from bilberry_resources.routing import RouteRule
 
+from ..http.const import HEADER_HOST
 from .answer_memory import HeldAnswer
 from .connections import ExchangeOutcome
 from .messages import EntryAnswer, EntryRequest
@@ -41,7 +42,8 @@
         """Return the fingerprint that all repeats of this request share."""
         request = self.request
         head = request.head
-        return fingerprint_of(request.client, head.method, head.target, request.body)
+        host = head.first(HEADER_HOST) or ""
+        return fingerprint_of(head.method, host, head.target, request.body)
 
     def hold_error(self, answer: EntryAnswer) -> None:
         """Keep an upstream's error while another attempt is made."""
--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -66,7 +66,6 @@
     __slots__ = (
         "answer_memory",
         "answer_ready",
-        "client",
         "clock",
         "connection",
         "handler",
@@ -82,14 +81,12 @@
     def __init__(
         self,
         sock: Any,
-        client: str,
         handler: Handler,
         limits: Callable[[], CallerLimits],
         clock: Clock,
         answer_memory: AnswerMemory,
     ) -> None:
         self.connection = Connection(sock, clock)
-        self.client = client
         self.handler = handler
         self.limits = limits
         self.clock = clock
@@ -217,7 +214,7 @@
             except BodyError as error:
                 self.reject(RequestError(error.status, error.reason))
                 return None
-        return EntryRequest(head, body, self.client, self.clock.now_ms())
+        return EntryRequest(head, body, self.clock.now_ms())
 
     def answer(self, exchange: Exchange) -> None:
         """Handle one request, then write the answers that are due."""
@@ -311,7 +308,7 @@
         if self.is_closing:
             return
         head = RequestHead("GET", "/", 1, [], keep_alive=False)
-        request = EntryRequest(head, b"", self.client, self.clock.now_ms())
+        request = EntryRequest(head, b"", self.clock.now_ms())
         answer = local_answer(error.status, error.reason)
         held = HeldAnswer(self.answer_memory)
         self.pending.append(Exchange(request, held, answer))
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -10,6 +10,7 @@
 from bilberry_resources.routing import RouteRule
 from bilberry_steering.route_table import RouteEntry
 
+from ..http.const import HEADER_HOST
 from ..http.head import RequestHead
 from .accounts import OutcomeRecorder
 from .active_request import (
@@ -45,7 +46,6 @@
 from .request_log import RequestLog
 from .state import EntryState
 
-HEADER_HOST = "host"
 NO_CONFIG_RETRY_MS = 500
 
 
--- a/packages/bilberry_router/src/bilberry_router/entry/listener.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/listener.py
@@ -83,7 +83,6 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(
             sock,
-            address[0],
             self.handler,
             self.limits,
             self.clock,
--- a/packages/bilberry_router/src/bilberry_router/entry/messages.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/messages.py
@@ -36,7 +36,6 @@
 
     head: RequestHead
     body: bytes
-    client: str
     arrived_ms: int
     caller_gone: bool = False
     on_caller_gone: Callable[[], None] | None = None
--- a/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
@@ -119,7 +119,7 @@
         self.server.stop(timeout=0)
 
     def crash(self) -> None:
-        """End as a killed process does: reset all connections, stop listening."""
+        """End as if killed: stop listening and reset all connections."""
         self.server.close()
         for connection in list(self.connections):
             connection.abort()
