Take the crash of a trial for no proof while another suspect was lost there

Cause: copies of the crashing request that were sent before it was suspect ended the upstream at which the harmless one was tried.

Change: such a crash proves something only once the other suspect that was lost there is cleared. Nodes tell of their losses before a trial is judged, and the owner of the trials tells what else was lost. Of those lost together, the less suspected are tried first. A node counts as an owner 1.2 s after its start, not 3 s, so that two nodes are taken for it for a shorter time.

--- a/packages/bilberry_balance/src/bilberry_balance/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/const.py
@@ -70,5 +70,6 @@
 # Longer than the time between two summaries to other regions.
 CLEARANCE_SHARE_MS = 1_200
 MAX_SUSPECT_REPORTS = 50
+PROOF_WAIT_MS = 5_000
 SAME_CRASH_WINDOW_MS = 1_000
 SPARE_MEMBERS = 1
--- a/packages/bilberry_balance/src/bilberry_balance/quarantine.py
+++ b/packages/bilberry_balance/src/bilberry_balance/quarantine.py
@@ -17,6 +17,7 @@
     CRASHES_TO_QUARANTINE,
     CRASHES_TO_SUSPECT,
     DEFAULT_MAX_SUSPECTS,
+    PROOF_WAIT_MS,
     SHARED_REPORT_MAX_AGE_MS,
 )
 from .suspects import (
@@ -64,7 +65,7 @@
         "members",
         "node",
         "owner",
-        "quarantined",
+        "repeated",
         "suspects",
         "trials",
     )
@@ -81,7 +82,8 @@
         self.members: tuple[str, ...] = (node,)
         self.owner: str | None = node
         self.suspects: OrderedDict[str, SuspectRecord] = OrderedDict()
-        self.quarantined: dict[str, None] = {}
+        # The fingerprints with more than one crash.
+        self.repeated: dict[str, None] = {}
         self.trials = TrialTable()
         self.cleared_at_ms: dict[str, int] = {}
 
@@ -97,7 +99,7 @@
         suspect = self._get_unexpired(fingerprint, now_ms)
         if suspect is None:
             return Allowed()
-        if suspect.is_quarantined():
+        if self._is_quarantined(fingerprint, suspect):
             return Quarantined(suspect.expires_ms - now_ms)
         if suspect.is_suspect():
             return TrialRequired(self.owner)
@@ -118,10 +120,11 @@
     ) -> bool:
         """Start a trial; return False if it isn't granted.
 
-        A quarantined fingerprint gets none. Call it at the owner only.
+        A quarantined fingerprint gets none, and one that is probably the cause
+        of a crash not before the others. Call it at the owner only.
         """
         suspect = self._get_unexpired(fingerprint, now_ms)
-        if suspect is not None and suspect.is_quarantined():
+        if suspect is not None and not self._may_try(fingerprint, suspect, now_ms):
             return False
         crashed = suspect.upstreams() if suspect is not None else frozenset()
         trial = Trial(fingerprint, holder, now_ms + limit_ms, upstream, crashed)
@@ -174,9 +177,9 @@
         """
         self.trials.end(fingerprint)
         suspect = self._get_unexpired(fingerprint, now_ms)
-        if suspect is None or suspect.is_quarantined():
+        if suspect is None or self._is_quarantined(fingerprint, suspect):
             return None
-        del self.suspects[fingerprint]
+        self._remove(fingerprint)
         self.cleared_at_ms[fingerprint] = now_ms
         return SuspectReport(fingerprint, (), 0, cleared=True)
 
@@ -205,13 +208,15 @@
         self.expire(now_ms)
         quarantined = [
             self.suspects[fingerprint].make_report(fingerprint, now_ms)
-            for fingerprint in self.quarantined
+            for fingerprint in self.repeated
+            if self._is_quarantined(fingerprint, self.suspects[fingerprint])
         ]
+        told = {report.fingerprint for report in quarantined}
         recent = []
         for fingerprint, suspect in reversed(self.suspects.items()):
             if now_ms - suspect.last_crash_ms() >= SHARED_REPORT_MAX_AGE_MS:
                 break
-            if fingerprint not in self.quarantined:
+            if fingerprint not in told:
                 recent.append(suspect.make_report(fingerprint, now_ms))
         recent.sort(key=lambda report: -len(report.crashes))
         return [*quarantined, *self._clearances(now_ms), *recent][:limit]
@@ -221,7 +226,10 @@
         self.expire(now_ms)
         worst = sorted(
             self.suspects.items(),
-            key=lambda item: (item[1].is_quarantined(), len(item[1].crashes)),
+            key=lambda item: (
+                self._is_quarantined(*item),
+                len(item[1].crashes),
+            ),
             reverse=True,
         )
         return [s.make_report(f, now_ms) for f, s in worst[:limit]]
@@ -237,6 +245,50 @@
                 del self.cleared_at_ms[fingerprint]
         self.trials.expire(now_ms)
 
+    def reports_beside(self, report: SuspectReport, now_ms: int) -> list[SuspectReport]:
+        """Return what is known of a request, and of those that ran beside it.
+
+        Others count if more than one upstream crashed under them.
+        """
+        suspect = self._get_unexpired(report.fingerprint, now_ms)
+        if suspect is None:
+            return []
+        beside = {report.fingerprint: suspect}
+        for crash in suspect.trial_crashes():
+            beside.update(self._find_beside(report.fingerprint, crash))
+        return [s.make_report(f, now_ms) for f, s in beside.items()]
+
+    def _is_quarantined(self, fingerprint: str, suspect: SuspectRecord) -> bool:
+        """Return whether a trial proves it to be the cause of a crash."""
+        return any(
+            not self._find_beside(fingerprint, crash)
+            for crash in suspect.trial_crashes()
+        )
+
+    def _may_try(self, fingerprint: str, suspect: SuspectRecord, now_ms: int) -> bool:
+        """Return whether a trial may tell something new.
+
+        If less suspected requests were lost in the crash of its trial, their
+        answers may prove it for some time.
+        """
+        for crash in suspect.trial_crashes():
+            beside = self._find_beside(fingerprint, crash).values()
+            if not beside:
+                return False
+            is_recent = now_ms - crash.at_ms < PROOF_WAIT_MS
+            is_worst = any(len(o.crashes) < len(suspect.crashes) for o in beside)
+            if is_recent and is_worst:
+                return False
+        return True
+
+    def _find_beside(self, fingerprint: str, crash: Crash) -> dict[str, SuspectRecord]:
+        """Return the other requests that may have caused a crash."""
+        return {
+            other: self.suspects[other]
+            for other in self.repeated
+            if other != fingerprint and self.suspects[other].was_at(crash)
+        }
+
     def _clearances(self, now_ms: int) -> list[SuspectReport]:
         return [
             SuspectReport(
@@ -249,7 +301,7 @@
     def _merge_clearance(self, fingerprint: str, at_ms: int, now_ms: int) -> None:
         self.trials.end(fingerprint)
         suspect = self._get_unexpired(fingerprint, now_ms)
-        if suspect is None or suspect.is_quarantined():
+        if suspect is None or self._is_quarantined(fingerprint, suspect):
             return
         known_ms = self.cleared_at_ms.get(fingerprint, at_ms)
         self.cleared_at_ms[fingerprint] = max(known_ms, at_ms)
@@ -273,14 +325,14 @@
 
     def _withdraw(self, fingerprint: str, upstream: str, at_ms: int) -> None:
         suspect = self.suspects.get(fingerprint)
-        if suspect is None or suspect.is_quarantined():
+        if suspect is None or self._is_quarantined(fingerprint, suspect):
             return
         suspect.withdraw(upstream, at_ms)
         self._drop_if_empty(fingerprint, suspect)
 
     def _drop_if_empty(self, fingerprint: str, suspect: SuspectRecord) -> None:
         if not suspect.crashes:
-            del self.suspects[fingerprint]
+            self._remove(fingerprint)
 
     def _get_or_make(self, fingerprint: str, now_ms: int) -> SuspectRecord:
         known = self._get_unexpired(fingerprint, now_ms)
@@ -298,18 +350,18 @@
     def _put(self, fingerprint: str, suspect: SuspectRecord) -> None:
         self.suspects[fingerprint] = suspect
         self.suspects.move_to_end(fingerprint)
-        if suspect.is_quarantined():
-            self.quarantined[fingerprint] = None
+        if len(suspect.crashes) > 1:
+            self.repeated[fingerprint] = None
         if len(self.suspects) > self.max_suspects:
             self._evict()
 
     def _evict(self) -> None:
         for fingerprint, suspect in self.suspects.items():
-            if not suspect.is_quarantined():
-                del self.suspects[fingerprint]
+            if not suspect.trial_crashes():
+                self._remove(fingerprint)
                 return
         self._remove(next(iter(self.suspects)))
 
     def _remove(self, fingerprint: str) -> None:
         del self.suspects[fingerprint]
-        self.quarantined.pop(fingerprint, None)
+        self.repeated.pop(fingerprint, None)
--- a/packages/bilberry_balance/src/bilberry_balance/suspects.py
+++ b/packages/bilberry_balance/src/bilberry_balance/suspects.py
@@ -90,15 +90,22 @@
         """Return whether there were enough crashes to require trials."""
         return len(self.crashes) >= self.limits.to_suspect
 
-    def is_quarantined(self) -> bool:
-        """Return whether it is to be refused.
+    def trial_crashes(self) -> list[Crash]:
+        """Return the crashes that may prove it to be the cause.
 
-        Only a trial proves the request's part in a crash, as others ran
-        beside it at the other ones.
+        Only those in trials do, as others ran beside it at the other ones.
         """
         if len(self.crashes) < self.limits.to_quarantine:
-            return False
-        return any(crash.in_trial for crash in self.crashes)
+            return []
+        return [crash for crash in self.crashes if crash.in_trial]
+
+    def was_at(self, other: Crash) -> bool:
+        """Return whether it ran when an upstream crashed under another."""
+        return any(
+            crash.upstream == other.upstream
+            and abs(crash.at_ms - other.at_ms) < SAME_CRASH_WINDOW_MS
+            for crash in self.crashes
+        )
 
     def last_crash_ms(self) -> int:
         """Return the time of the latest crash."""
@@ -118,7 +125,7 @@
             return False
         self.crashes.append(new_crash)
         duration_ms = DEFAULT_SUSPECT_MS
-        if self.is_quarantined():
+        if self.trial_crashes():
             duration_ms = DEFAULT_QUARANTINE_MS
         self.expires_ms = max(self.expires_ms, new_crash.at_ms + duration_ms)
         return True
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
@@ -168,6 +168,9 @@
 
     def send_to(self, addresses: list[str], message: SuspectMessage) -> None:
         """Send a message to nodes at once."""
+        if self.sock is None:
+            _LOGGER.info("heartbeats: Closed, a message is not sent.")
+            return
         data = msgspec.msgpack.encode(message)
         for address in addresses:
             self._send(address, data)
--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -40,7 +40,7 @@
 MAX_QUEUE_MISSES = 30
 EXPIRY_INTERVAL_MS = 200
 # After its start, the peers know a node.
-KNOWN_AFTER_MS = 3_000
+KNOWN_AFTER_MS = 1_200
 
 # Fraction of the operator's retry limits that nodes use. The operator counts
 # requests in other windows, of which a node's own may cover three quarters.
--- a/packages/bilberry_router/src/bilberry_router/entry/crash_evidence.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/crash_evidence.py
@@ -101,7 +101,7 @@
         return witness.confirms_crash(ended_at_ms, was_closed)
 
     def _record_overdue(self, fingerprint: str, upstream: Upstream) -> None:
-        at_ms = self.suspects.on_overdue(fingerprint, upstream.name)
+        at_ms = self.suspects.count_crash(fingerprint, upstream.name)
         waiting = self.checks.setdefault(upstream.name, [])
         waiting.append((fingerprint, at_ms))
         if len(waiting) == 1:
--- a/packages/bilberry_router/src/bilberry_router/entry/suspects.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/suspects.py
@@ -14,12 +14,15 @@
 )
 from bilberry_balance.suspects import CrashLimits, SuspectReport
 from bilberry_core.clock import Clock
+from bilberry_core.const import MS_PER_SECOND
 from bilberry_fleet.discovery.messages import SuspectCall, SuspectReply, TrialRequest
 
 from .suspect_peers import SuspectPeers
 
 _LOGGER = logging.getLogger(__name__)
 
+# In which the nodes tell of all that was lost in a crash.
+TRIAL_SETTLE_MS = 150
 # Lost answers alone are common, so that a single one means little.
 ENTRY_CRASH_LIMITS = CrashLimits(to_suspect=2, to_quarantine=3)
 
@@ -77,11 +80,17 @@
 
         Return once the node that grants trials knows it, or doesn't reply.
         """
-        self._count_crash(fingerprint, upstream, in_trial=False)
+        self._count_and_learn(fingerprint, upstream, in_trial=False)
 
     def on_trial_crash(self, fingerprint: str, upstream: str) -> None:
-        """Quarantine a request whose trial crashed its upstream."""
-        self._count_crash(fingerprint, upstream, in_trial=True)
+        """Quarantine a request whose trial crashed its upstream.
+
+        All nodes tell first what they lost there, as another suspect may be
+        the cause.
+        """
+        self.count_crash(fingerprint, upstream)
+        gevent.sleep(TRIAL_SETTLE_MS / MS_PER_SECOND)
+        self._count_and_learn(fingerprint, upstream, in_trial=True)
 
     def on_trial_ended(self, fingerprint: str) -> None:
         """End a trial that proved nothing."""
@@ -99,8 +108,8 @@
         else:
             self._tell_owner(report)
 
-    def on_overdue(self, fingerprint: str, upstream: str) -> int:
-        """Count an answer that never came as a crash; return the time."""
+    def count_crash(self, fingerprint: str, upstream: str) -> int:
+        """Count a crash without waiting for the owner; return the time."""
         now_ms = self.clock.now_ms()
         before = self.check(fingerprint)
         report = self.table.on_crash(fingerprint, upstream, now_ms)
@@ -133,8 +142,13 @@
         granted = False
         if call.trial is not None:
             granted = self._grant(call.trial, f"{call.sender}/{call.call_id}")
-        known = self._known([*before])
-        return SuspectReply(call.call_id, known, granted)
+        now_ms = self.clock.now_ms()
+        known = {
+            known.fingerprint: known
+            for report in call.reports
+            for known in self.table.reports_beside(report, now_ms)
+        }
+        return SuspectReply(call.call_id, list(known.values()), granted)
 
     def learn_all(self) -> bool:
         """Ask peers for all suspects; return whether one replied."""
@@ -159,17 +173,16 @@
             )
         return granted
 
-    def _count_crash(self, fingerprint: str, upstream: str, in_trial: bool) -> None:
+    def _count_and_learn(self, fingerprint: str, upstream: str, in_trial: bool) -> None:
         before = self.check(fingerprint)
         now_ms = self.clock.now_ms()
         report = self.table.on_crash(fingerprint, upstream, now_ms, in_trial)
-        self._tell_all_of_change(fingerprint, before)
         owner = self.table.owner
-        if owner == self.table.node or self.peers is None:
-            return
-        reply = self.peers.call(owner, [report])
-        if reply is not None:
-            self.merge(reply.reports)
+        if owner != self.table.node and self.peers is not None:
+            reply = self.peers.call(owner, [report])
+            if reply is not None:
+                self.merge(reply.reports)
+        self._tell_all_of_change(fingerprint, before)
 
     def _tell_all_of_change(self, fingerprint: str, before: QuarantineDecision) -> None:
         """Tell all nodes if a request has become suspect or quarantined."""
--- a/tests/bilberry_balance/test_suspect_reports.py
+++ b/tests/bilberry_balance/test_suspect_reports.py
@@ -183,3 +183,52 @@
     one.on_crash(BAD, "last", 2_000, in_trial=True)
     assert len(one.suspects[BAD].crashes) < 20
     assert isinstance(one.check(BAD, 2_000), Quarantined)
+
+
+def shared_crash():
+    """Return a table where both were lost as a trial of `GOOD` crashed."""
+    one = table()
+    for index in range(2):
+        one.on_crash(BAD, f"u{index}", index * 2_000)
+        one.on_crash(GOOD, f"u{index}", index * 2_000)
+    one.on_crash(BAD, "u9", 3_000)
+    one.on_crash(BAD, "u2", 5_000)
+    one.on_crash(GOOD, "u2", 5_100, in_trial=True)
+    return one
+
+
+def test_a_crash_of_two_suspects_quarantines_neither():
+    one = shared_crash()
+    assert isinstance(one.check(GOOD, 5_200), TrialRequired)
+    assert isinstance(one.check(BAD, 5_200), TrialRequired)
+
+
+def test_the_less_suspected_of_a_crash_is_tried_first():
+    one = shared_crash()
+    assert one.begin_trial(GOOD, 5_200, 1_000, "u5", "n1:1")
+    one.on_crash(BAD, "u6", 6_000, in_trial=True)
+    one.on_crash(GOOD, "u6", 6_000)
+    assert not one.begin_trial(BAD, 6_100, 1_000, "u7", "n2:1")
+    one.on_success(GOOD, 6_300)
+    assert isinstance(one.check(BAD, 6_400), Quarantined)
+
+
+def test_a_suspect_whose_companion_never_returns_is_tried_later():
+    one = shared_crash()
+    one.on_crash(BAD, "u6", 6_000, in_trial=True)
+    one.on_crash(GOOD, "u6", 6_000)
+    assert not one.begin_trial(BAD, 6_100, 1_000, "u7", "n2:1")
+    assert one.begin_trial(BAD, 12_000, 1_000, "u7", "n2:1")
+
+
+def test_a_node_learns_what_else_was_lost_in_the_crash_of_a_trial():
+    owner, other = tables(2)
+    for index in range(3):
+        owner.on_crash(BAD, f"u{index}", index * 2_000)
+        other.on_crash(GOOD, f"u{index}", index * 2_000, in_trial=index == 2)
+    assert isinstance(other.check(GOOD, 4_100), Quarantined)
+    for report in other.reports(4_100, 10):
+        owner.merge(report, 4_100)
+        for known in owner.reports_beside(report, 4_100):
+            other.merge(known, 4_100)
+    assert isinstance(other.check(GOOD, 4_200), TrialRequired)
