Answer a request in time while its trial is judged, and tell recent crashes

What callers would see: a request whose trial ended at its deadline was held up to 2 s longer, until it was known whether the upstream had crashed; a suspect with little time left was held for the checks before its trial.

Cause: a trial was judged before the answer. Now that waits for the request's time at most, and so do the checks before a trial. No other trial begins until the verdict, as its owner keeps the trial.

Beside it: the reports of quarantined requests, merged again with each heartbeat, hid recent crashes from the peers, whose list ends at the first old one (test_quarantined_requests_hide_no_recent_crash, failed before). Overdue answers and ended trials are types, and failed health calls are logged.

--- a/packages/bilberry_balance/src/bilberry_balance/quarantine.py
+++ b/packages/bilberry_balance/src/bilberry_balance/quarantine.py
@@ -214,10 +214,11 @@
         told = {report.fingerprint for report in quarantined}
         recent = []
         for fingerprint, suspect in reversed(self.suspects.items()):
+            if fingerprint in told:
+                continue
             if now_ms - suspect.last_crash_ms() >= SHARED_REPORT_MAX_AGE_MS:
                 break
-            if fingerprint not in told:
-                recent.append(suspect.make_report(fingerprint, now_ms))
+            recent.append(suspect.make_report(fingerprint, now_ms))
         recent.sort(key=lambda report: -len(report.crashes))
         return [*quarantined, *self._clearances(now_ms), *recent][:limit]
 
@@ -312,15 +313,17 @@
         fingerprint = report.fingerprint
         suspect = self._get_or_make(fingerprint, now_ms)
         cleared_at_ms = self.cleared_at_ms.get(fingerprint)
+        has_news = False
         for crash in report.crashes:
             at_ms = now_ms - max(0, crash.ago_ms)
             if cleared_at_ms is not None and at_ms <= cleared_at_ms:
                 continue
             origins = {crash.origin} if crash.origin else set()
             is_new = suspect.add(Crash(crash.upstream, at_ms, crash.in_trial, origins))
+            has_news |= is_new
             if is_new and crash.in_trial:
                 self.trials.end(fingerprint)
-        if suspect.crashes and suspect.expires_ms > now_ms:
+        if has_news and suspect.expires_ms > now_ms:
             self._put(fingerprint, suspect)
 
     def _withdraw(self, fingerprint: str, upstream: str, at_ms: int) -> None:
--- a/packages/bilberry_router/src/bilberry_router/entry/active_request.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/active_request.py
@@ -63,12 +63,6 @@
         self.held_error.release()
         self.held_error.add(len(answer.body))
 
-    def end_trial(self) -> None:
-        """Stop watching the upstream of a trial, if this is one."""
-        if self.witness is not None:
-            self.witness.close()
-            self.witness = None
-
     def remaining_ms(self, now_ms: int) -> int:
         """Return the time left until the deadline, in ms."""
         return max(0, self.deadline_ms - now_ms)
--- a/packages/bilberry_router/src/bilberry_router/entry/crash_evidence.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/crash_evidence.py
@@ -1,9 +1,13 @@
 """Judge from the outcomes of attempts which requests crash upstreams."""
 
+from dataclasses import dataclass
+
 import gevent
+from gevent import Greenlet
 
 from bilberry_balance.outcomes import FailurePoint
 from bilberry_balance.placement.upstream import Upstream
+from bilberry_core.const import MS_PER_SECOND
 
 from .active_request import ActiveRequest
 from .answer_checks import LOST_ANSWER_POINTS
@@ -21,6 +25,29 @@
 }
 
 
+@dataclass(slots=True, frozen=True)
+class OverdueAnswer:
+    """Represent an answer that never came, counted as a crash."""
+
+    fingerprint: str
+    counted_at_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class EndedTrial:
+    """Represent a trial whose result is to be found out.
+
+    `point` is where it failed, None if it was answered.
+    """
+
+    fingerprint: str
+    upstream: Upstream
+    point: FailurePoint | None
+    witness: CrashWitness
+    sent_at_ms: int
+    ended_at_ms: int
+
+
 class CrashEvidence:
     """Record crashes and answers of requests with the suspects.
 
@@ -29,7 +56,7 @@
     crash is confirmed first.
     """
 
-    __slots__ = ("checks", "header_names", "state", "suspects")
+    __slots__ = ("header_names", "overdue", "state", "suspects")
 
     def __init__(
         self, state: EntryState, suspects: EntrySuspects, header_names: HeaderNames
@@ -37,8 +64,8 @@
         self.state = state
         self.suspects = suspects
         self.header_names = header_names
-        # The overdue answers, with their times, of upstreams being checked.
-        self.checks: dict[str, list[tuple[str, int]]] = {}
+        # By upstream, while it is being checked.
+        self.overdue: dict[str, list[OverdueAnswer]] = {}
 
     def make_witness(self, upstream: Upstream) -> CrashWitness:
         """Return a witness for a trial at an upstream."""
@@ -50,60 +77,63 @@
         upstream: Upstream,
         outcome: ExchangeOutcome,
         sent_at_ms: int,
-        ended_at_ms: int,
     ) -> None:
-        """Record what an attempt tells."""
+        """Record what an attempt tells.
+
+        What a lost answer means is known before the next attempt, unless the
+        request's time is over before. No other trial of it begins until then.
+        """
+        now_ms = self.state.clock.now_ms()
+        fingerprint = active.fingerprint()
         if active.witness is not None:
-            self._record_trial(active, upstream, outcome, sent_at_ms, ended_at_ms)
+            trial = EndedTrial(
+                fingerprint, upstream, outcome.point, active.witness, sent_at_ms, now_ms
+            )
+            active.witness = None
+            self._wait(active, gevent.spawn(self._judge_trial, trial))
         elif outcome.point in LOST_ANSWER_POINTS:
-            self.suspects.on_lost_answer(active.fingerprint(), upstream.name)
+            told = gevent.spawn(
+                self.suspects.on_lost_answer, fingerprint, upstream.name
+            )
+            self._wait(active, told)
         elif outcome.point is FailurePoint.DEADLINE_AFTER_SEND:
             if not self._is_alive_or_closed(upstream, sent_at_ms):
-                self._record_overdue(active.fingerprint(), upstream)
+                self._record_overdue(fingerprint, upstream)
         elif outcome.point is None and self.suspects.table.suspects:
-            self.suspects.on_answer(active.fingerprint())
+            self.suspects.on_answer(fingerprint)
 
-    def _record_trial(
-        self,
-        active: ActiveRequest,
-        upstream: Upstream,
-        outcome: ExchangeOutcome,
-        sent_at_ms: int,
-        ended_at_ms: int,
-    ) -> None:
-        """Record what a trial proves, if anything, and end it."""
-        fingerprint = active.fingerprint()
+    def _wait(self, active: ActiveRequest, task: Greenlet) -> None:
+        """Wait until a task has ended, or the request's time is over."""
+        left_ms = active.remaining_ms(self.state.clock.now_ms())
+        task.join(timeout=left_ms / MS_PER_SECOND)
+
+    def _judge_trial(self, trial: EndedTrial) -> None:
+        """Record what a trial proves, if anything."""
         try:
-            if outcome.point is None:
-                self.suspects.on_answer(fingerprint)
-            elif self._has_crashed(active, upstream, outcome, sent_at_ms, ended_at_ms):
-                self.suspects.on_trial_crash(fingerprint, upstream.name)
+            if trial.point is None:
+                self.suspects.on_answer(trial.fingerprint)
+            elif self._has_crashed(trial):
+                self.suspects.on_trial_crash(trial.fingerprint, trial.upstream.name)
             else:
-                self.suspects.on_trial_ended(fingerprint)
+                self.suspects.on_trial_ended(trial.fingerprint)
         finally:
-            active.end_trial()
+            trial.witness.close()
 
-    def _has_crashed(
-        self,
-        active: ActiveRequest,
-        upstream: Upstream,
-        outcome: ExchangeOutcome,
-        sent_at_ms: int,
-        ended_at_ms: int,
-    ) -> bool:
+    def _has_crashed(self, trial: EndedTrial) -> bool:
         """Return whether the upstream crashed in a trial."""
-        witness = active.witness
-        if witness is None or outcome.point not in UNANSWERED_POINTS:
+        if trial.point not in UNANSWERED_POINTS:
             return False
-        was_closed = outcome.point in LOST_ANSWER_POINTS
-        if not was_closed and self._is_alive_or_closed(upstream, sent_at_ms):
+        was_closed = trial.point in LOST_ANSWER_POINTS
+        if not was_closed and self._is_alive_or_closed(
+            trial.upstream, trial.sent_at_ms
+        ):
             return False
-        return witness.confirms_crash(ended_at_ms, was_closed)
+        return trial.witness.confirms_crash(trial.ended_at_ms, was_closed)
 
     def _record_overdue(self, fingerprint: str, upstream: Upstream) -> None:
         at_ms = self.suspects.count_crash(fingerprint, upstream.name)
-        waiting = self.checks.setdefault(upstream.name, [])
-        waiting.append((fingerprint, at_ms))
+        waiting = self.overdue.setdefault(upstream.name, [])
+        waiting.append(OverdueAnswer(fingerprint, at_ms))
         if len(waiting) == 1:
             gevent.spawn(self._check, upstream)
 
@@ -114,10 +144,12 @@
             is_alive = connection.connect() and connection.ask() is Liveness.ALIVE
         finally:
             connection.close()
-            overdue = self.checks.pop(upstream.name)
+            overdue = self.overdue.pop(upstream.name)
         if is_alive:
-            for fingerprint, at_ms in overdue:
-                self.suspects.withdraw(fingerprint, upstream.name, at_ms)
+            for answer in overdue:
+                self.suspects.withdraw(
+                    answer.fingerprint, upstream.name, answer.counted_at_ms
+                )
 
     def _is_alive_or_closed(self, upstream: Upstream, sent_at_ms: int) -> bool:
         """Return whether it has answered since, or is to get nothing more."""
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -113,7 +113,8 @@
             answer = self.forward(active)
         finally:
             active.held_error.release()
-            active.end_trial()
+            if active.witness is not None:
+                active.witness.close()
         took_ms = self.state.clock.now_ms() - request.arrived_ms
         self.request_log.record_end(active, answer, took_ms)
         return self.count_answer(request, answer, active.service)
@@ -232,9 +233,9 @@
         active.request.on_caller_gone = attempt.cancel
         active.tried_upstreams.add(upstream.name)
         outcome = self.run_attempt(active, selection, attempt, now_ms)
-        ended_at_ms = self.state.clock.now_ms()
-        self.crash_evidence.record(active, upstream, outcome, now_ms, ended_at_ms)
-        return AttemptRecord(outcome, ended_at_ms - now_ms, load, report_age_ms)
+        took_ms = self.state.clock.now_ms() - now_ms
+        self.crash_evidence.record(active, upstream, outcome, now_ms)
+        return AttemptRecord(outcome, took_ms, load, report_age_ms)
 
     def run_attempt(
         self,
--- a/packages/bilberry_router/src/bilberry_router/entry/liveness.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/liveness.py
@@ -30,12 +30,12 @@
 class Liveness(StrEnum):
     """Enumerate what a check tells of one incarnation of an upstream.
 
-    `GONE` means that another one answers at its address, `CLOSED` that the
+    `REPLACED` means that another one answers at its address, `CLOSED` that the
     connection was lost.
     """
 
     ALIVE = auto()
-    GONE = auto()
+    REPLACED = auto()
     CLOSED = auto()
     SILENT = auto()
 
@@ -54,11 +54,14 @@
         self.header_names = header_names
         self.socket = UpstreamSocket(spec.address)
 
-    def connect(self) -> bool:
+    def connect(self, timeout_ms: int = CONNECT_TIMEOUT_MS) -> bool:
         """Connect; return whether that worked."""
         try:
-            self.socket.connect(CONNECT_TIMEOUT_MS, MAX_UNACKNOWLEDGED_MS)
-        except OSError:
+            self.socket.connect(timeout_ms, MAX_UNACKNOWLEDGED_MS)
+        except OSError as error:
+            _LOGGER.info(
+                "entry: No connection for the health of %s: %s.", self.spec.name, error
+            )
             return False
         return True
 
@@ -87,16 +90,17 @@
                 parser.feed(data)
         except ReadTimeoutError:
             return Liveness.SILENT
-        except OSError:
+        except OSError as error:
+            _LOGGER.info("entry: No health of %s: %s.", self.spec.name, error)
             return Liveness.CLOSED
         return self._judge(parser)
 
     def _judge(self, parser: ResponseParser) -> Liveness:
         """Return whether the answer is of this incarnation."""
         if parser.status == HTTPStatus.MISDIRECTED_REQUEST:
-            return Liveness.GONE
+            return Liveness.REPLACED
         name = parser.first(self.header_names.upstream_id.lower())
-        return Liveness.ALIVE if name in (None, self.spec.name) else Liveness.GONE
+        return Liveness.ALIVE if name in (None, self.spec.name) else Liveness.REPLACED
 
 
 class CrashWitness:
@@ -113,12 +117,16 @@
         self.closed_at_ms: int | None = None
         self.task: Greenlet | None = None
 
-    def start(self) -> bool:
-        """Watch an upstream that is alive; return whether it is."""
+    def start(self, limit_ms: int) -> bool:
+        """Watch an upstream that is alive; return whether it is.
+
+        Find that out within `limit_ms`.
+        """
         connection = self.connection
-        if not connection.connect():
+        if not connection.connect(min(limit_ms // 2, CONNECT_TIMEOUT_MS)):
             return False
-        if connection.ask(FIRST_HEALTH_TIMEOUT_MS) is not Liveness.ALIVE:
+        health_ms = min(limit_ms // 2, FIRST_HEALTH_TIMEOUT_MS)
+        if connection.ask(health_ms) is not Liveness.ALIVE:
             return False
         self.task = gevent.spawn(self.watch)
         return True
@@ -160,7 +168,7 @@
         """Return whether nothing or another upstream is at its address."""
         connection = self._new_connection()
         try:
-            return not connection.connect() or connection.ask() is Liveness.GONE
+            return not connection.connect() or connection.ask() is Liveness.REPLACED
         finally:
             connection.close()
 
--- a/packages/bilberry_router/src/bilberry_router/entry/suspect_placement.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/suspect_placement.py
@@ -101,7 +101,7 @@
         if not self.suspects.request_trial(request):
             return False
         witness = self.crash_evidence.make_witness(upstream)
-        is_alive = witness.start()
+        is_alive = witness.start(self._remaining_ms(active))
         if is_alive and not active.request.caller_gone:
             active.witness = witness
             return True
--- a/tests/bilberry_balance/test_suspect_reports.py
+++ b/tests/bilberry_balance/test_suspect_reports.py
@@ -96,6 +96,17 @@
     assert isinstance(started.check(BAD, 300_200), Allowed)
 
 
+def test_quarantined_requests_hide_no_recent_crash():
+    one, other = tables(2)
+    for index in range(3):
+        one.on_crash(BAD, f"u{index}", index, in_trial=index == 2)
+    share(one, [other], 100)
+    other.on_crash(GOOD, "u7", 50_000)
+    share(one, [other], 50_100)
+    told = [r.fingerprint for r in other.recent_reports(50_200, MAX_SUSPECT_REPORTS)]
+    assert told == [BAD, GOOD]
+
+
 def test_a_request_that_other_nodes_answer_in_between_is_not_suspect():
     """Identical requests meet three crashes by chance."""
     nodes = tables()
