Test a node that starts after a quarantine, and one that is cut off

The first runs a fifth real node: it refuses the request at once, and no fourth upstream ends. The second gives a node peers that never reply: a suspect gets 503 and doesn't run, others are served.

--- a/tests/bilberry_platform/test_crashing_requests.py
+++ b/tests/bilberry_platform/test_crashing_requests.py
@@ -4,6 +4,7 @@
 
 from bilberry_platform.const import HEADER_NAMES
 
+from ..bilberry_router.entry.common import eventually
 from .common import Deployment, fetch
 
 NODES = ("n1", "n2", "n3", "n4")
@@ -43,17 +44,31 @@
         return answer.status == 503 and QUARANTINED in answer.body
 
 
+def refuse_everywhere(fleet):
+    """Send `POISON` to the nodes in turn until all of them refuse it."""
+    refused = 0
+    for index in range(40):
+        answer = fleet.ask(fleet.nodes[index % len(NODES)])
+        refused = refused + 1 if fleet.is_refused(answer) else 0
+        if refused == len(NODES):
+            return
+        gevent.sleep(0.05)
+    raise AssertionError("not refused")
+
+
 def test_a_crashing_request_costs_three_upstreams_at_four_nodes():
     with CrashingFleet() as fleet:
-        refused = 0
-        for index in range(40):
-            answer = fleet.ask(fleet.nodes[index % len(NODES)])
-            refused = refused + 1 if fleet.is_refused(answer) else 0
-            if refused == len(NODES):
-                break
-            gevent.sleep(0.05)
+        refuse_everywhere(fleet)
+        assert len(fleet.crashed) == CRASHES_ALLOWED
+
+
+def test_a_node_that_starts_afterwards_refuses_it_at_once():
+    with CrashingFleet() as fleet:
+        refuse_everywhere(fleet)
+        started = fleet.node("n5", ready=False)
+        eventually(started.is_ready)
+        assert fleet.is_refused(fleet.ask(started))
         assert len(fleet.crashed) == CRASHES_ALLOWED
-        assert refused == len(NODES)
 
 
 def test_a_harmless_request_sent_again_beside_it_is_never_quarantined():
--- a/tests/bilberry_router/entry/test_suspects.py
+++ b/tests/bilberry_router/entry/test_suspects.py
@@ -217,3 +217,28 @@
         assert refused.status == 503
         assert b"request suspected" in refused.body
         assert "retry-after" in refused.headers
+
+
+class DeafPeers:
+    """Peers that never reply, as those of a node that is cut off."""
+
+    def members(self, own_is_known, now_ms):
+        return ("n2",)
+
+    def call(self, name, reports, trial=None):
+        return None
+
+    def tell_all(self, reports):
+        return None
+
+
+def test_a_node_that_reaches_no_owner_refuses_suspects_as_not_run():
+    with Rig() as rig:
+        suspects = rig.forwarder.suspects
+        suspects.peers = DeafPeers()
+        suspects.update_members(own_is_known=True)
+        for name in ("gone-1", "gone-2"):
+            suspects.on_lost_answer(fingerprint("/short/x"), name)
+        refused = rig.ask("/short/x")
+        assert (refused.status, rig.ran) == (503, [])
+        assert rig.ask("/short/y").status == 200
