Tell few nodes of lost answers, and let one node tell all of suspects

Change: heartbeats carry requests with two crashes or more, eight at most. Clearances go to the owner.

--- a/packages/bilberry_router/src/bilberry_router/entry/suspect_peers.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/suspect_peers.py
@@ -42,6 +42,12 @@
             return None
         return self.calls.call(peer.info.peer_address, reports, trial)
 
+    def tell(self, name: str | None, report: SuspectReport) -> None:
+        """Send a report to one node, once."""
+        peer = self.peers.peers.get(name or "")
+        if peer is not None:
+            self.calls.tell([peer.info.peer_address], [report])
+
     def tell_all(self, reports: list[SuspectReport]) -> None:
         """Send reports to all nodes that the store lists or that live."""
         addresses = [peer.info.peer_address for peer in self.peers.peers.values()]
@@ -72,3 +78,35 @@
                 peer.rank,
             ),
         )
+
+
+class NoPeers:
+    """Stand for the peers of a node that is alone."""
+
+    __slots__ = ("node",)
+
+    def __init__(self, node: str) -> None:
+        self.node = node
+
+    def members(self, own_is_known: bool, now_ms: int) -> tuple[str, ...]:
+        """Return this node, which grants its own trials."""
+        return (self.node,)
+
+    def call(
+        self,
+        name: str | None,
+        reports: list[SuspectReport],
+        trial: TrialRequest | None = None,
+    ) -> SuspectReply | None:
+        """Return no reply."""
+        return None
+
+    def tell(self, name: str | None, report: SuspectReport) -> None:
+        """Tell nobody."""
+
+    def tell_all(self, reports: list[SuspectReport]) -> None:
+        """Tell nobody."""
+
+    def ask_all(self) -> list[SuspectReply]:
+        """Return no replies."""
+        return []
--- a/packages/bilberry_router/src/bilberry_router/entry/suspects.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/suspects.py
@@ -10,17 +10,21 @@
     Quarantined,
     QuarantineDecision,
     QuarantineTable,
-    TrialRequired,
 )
 from bilberry_balance.suspects import CrashLimits, SuspectReport
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_fleet.discovery.messages import SuspectCall, SuspectReply, TrialRequest
+from bilberry_steering.token_bucket import TokenBucket
 
-from .suspect_peers import SuspectPeers
+from .suspect_peers import NoPeers, SuspectPeers
 
 _LOGGER = logging.getLogger(__name__)
 
+MAX_HEARTBEAT_REPORTS = 8
+# Of suspects, as lost answers can be many.
+MAX_BROADCASTS_PER_S = 12.0
+MAX_BROADCASTS_AT_ONCE = 10.0
 # In which the nodes tell of all that was lost in a crash.
 TRIAL_SETTLE_MS = 150
 # Lost answers alone are common, so that a single one means little.
@@ -34,27 +38,34 @@
     it tells all nodes of new suspects.
     """
 
-    __slots__ = ("clock", "own_trials", "peers", "table")
+    __slots__ = ("broadcasts", "clock", "own_trials", "peers", "table")
 
     def __init__(self, node: str, clock: Clock) -> None:
         self.clock = clock
         self.table = QuarantineTable(node, limits=ENTRY_CRASH_LIMITS)
-        self.peers: SuspectPeers | None = None
+        self.peers: SuspectPeers | NoPeers = NoPeers(node)
         self.own_trials = 0
+        self.broadcasts = TokenBucket(
+            MAX_BROADCASTS_PER_S, clock.now_ms(), MAX_BROADCASTS_AT_ONCE
+        )
 
     def update_members(self, own_is_known: bool) -> None:
         """Apply which nodes may grant trials."""
-        if self.peers is not None:
-            members = self.peers.members(own_is_known, self.clock.now_ms())
-            self.table.set_members(members)
+        members = self.peers.members(own_is_known, self.clock.now_ms())
+        self.table.set_members(members)
 
     def check(self, fingerprint: str) -> QuarantineDecision:
         """Return whether and how a request may run."""
         return self.table.check(fingerprint, self.clock.now_ms())
 
     def reports(self) -> list[SuspectReport]:
-        """Return what to tell the peers with each heartbeat."""
-        return self.table.recent_reports(self.clock.now_ms(), MAX_SUSPECT_REPORTS)
+        """Return what to tell the peers with each heartbeat.
+
+        A single lost answer is known to the owner of the trials only.
+        """
+        reports = self.table.recent_reports(self.clock.now_ms(), MAX_SUSPECT_REPORTS)
+        told = [r for r in reports if r.cleared or len(r.crashes) > 1]
+        return told[:MAX_HEARTBEAT_REPORTS]
 
     def merge(self, reports: list[SuspectReport]) -> None:
         """Merge the reports that a peer has sent."""
@@ -64,12 +75,11 @@
 
     def request_trial(self, request: TrialRequest) -> bool:
         """Return whether a suspect may be tried at an upstream now."""
-        owner = self.table.owner
-        if owner == self.table.node or self.peers is None:
+        if not self._has_other_owner():
             self.own_trials += 1
             return self._grant(request, f"{self.table.node}:{self.own_trials}")
         known = self._known([request.fingerprint])
-        reply = self.peers.call(owner, known, request)
+        reply = self.peers.call(self.table.owner, known, request)
         if reply is None:
             return False
         self.merge(reply.reports)
@@ -98,34 +108,26 @@
 
     def on_answer(self, fingerprint: str) -> None:
         """Clear, at all nodes, a request that was answered."""
-        was_suspect = isinstance(self.check(fingerprint), TrialRequired)
         report = self.table.on_success(fingerprint, self.clock.now_ms())
-        if report is None:
-            return
-        if was_suspect:
-            _LOGGER.info("entry: Request %s is cleared by its answer.", fingerprint)
-            self._tell_all([report])
-        else:
-            self._tell_owner(report)
+        if report is not None and self._has_other_owner():
+            self.peers.tell(self.table.owner, report)
 
     def count_crash(self, fingerprint: str, upstream: str) -> int:
         """Count a crash without waiting for the owner; return the time."""
         now_ms = self.clock.now_ms()
         before = self.check(fingerprint)
         report = self.table.on_crash(fingerprint, upstream, now_ms)
-        self._tell_owner(report)
-        self._tell_all_of_change(fingerprint, before)
+        if self._has_other_owner():
+            self._tell_owner(report)
+        else:
+            self._tell_all_of_change(fingerprint, before)
         return now_ms
 
     def withdraw(self, fingerprint: str, upstream: str, at_ms: int) -> None:
         """Take back a crash, as the upstream is alive."""
         now_ms = self.clock.now_ms()
-        was_suspect = not isinstance(self.check(fingerprint), Allowed)
         report = self.table.withdraw_crash(fingerprint, upstream, at_ms, now_ms)
-        if was_suspect:
-            self._tell_all([report])
-        else:
-            self._tell_owner(report)
+        self._tell_owner(report)
 
     def answer_call(self, call: SuspectCall) -> SuspectReply:
         """Return the reply to another node's call."""
@@ -152,8 +154,6 @@
 
     def learn_all(self) -> bool:
         """Ask peers for all suspects; return whether one replied."""
-        if self.peers is None:
-            return True
         replies = self.peers.ask_all()
         for reply in replies:
             self.merge(reply.reports)
@@ -177,12 +177,13 @@
         before = self.check(fingerprint)
         now_ms = self.clock.now_ms()
         report = self.table.on_crash(fingerprint, upstream, now_ms, in_trial)
-        owner = self.table.owner
-        if owner != self.table.node and self.peers is not None:
-            reply = self.peers.call(owner, [report])
-            if reply is not None:
-                self.merge(reply.reports)
-        self._tell_all_of_change(fingerprint, before)
+        reply = None
+        if self._has_other_owner():
+            reply = self.peers.call(self.table.owner, [report])
+        if reply is not None:
+            self.merge(reply.reports)
+        else:
+            self._tell_all_of_change(fingerprint, before)
 
     def _tell_all_of_change(self, fingerprint: str, before: QuarantineDecision) -> None:
         """Tell all nodes if a request has become suspect or quarantined."""
@@ -190,13 +191,14 @@
         if type(after) is type(before) or isinstance(after, Allowed):
             return
         suspect = self.table.suspects[fingerprint]
+        is_quarantined = isinstance(after, Quarantined)
         _LOGGER.warning(
             "entry: Request %s is %s: upstreams crashed under it: %s.",
             fingerprint,
-            "quarantined" if isinstance(after, Quarantined) else "suspect",
+            "quarantined" if is_quarantined else "suspect",
             sorted(suspect.upstreams()),
         )
-        self._tell_all(self._known([fingerprint]))
+        self._tell_all(self._known([fingerprint]), always=is_quarantined)
 
     def _known(self, fingerprints: list[str]) -> list[SuspectReport]:
         now_ms = self.clock.now_ms()
@@ -205,12 +207,17 @@
             suspects[f].make_report(f, now_ms) for f in fingerprints if f in suspects
         ]
 
-    def _tell_all(self, reports: list[SuspectReport]) -> None:
-        if self.peers is not None:
+    def _tell_all(self, reports: list[SuspectReport], always: bool) -> None:
+        """Tell all nodes, unless that was done too often lately."""
+        if always or self.broadcasts.can_take(1, self.clock.now_ms()):
+            self.broadcasts.take(1)
             self.peers.tell_all(reports)
 
     def _tell_owner(self, report: SuspectReport) -> None:
         """Tell it without waiting, but again if it doesn't reply."""
-        owner = self.table.owner
-        if owner != self.table.node and self.peers is not None:
-            gevent.spawn(self.peers.call, owner, [report])
+        if self._has_other_owner():
+            gevent.spawn(self.peers.call, self.table.owner, [report])
+
+    def _has_other_owner(self) -> bool:
+        """Return whether another node grants the trials."""
+        return self.table.owner != self.table.node
--- a/tests/bilberry_router/entry/test_suspects.py
+++ b/tests/bilberry_router/entry/test_suspects.py
@@ -228,6 +228,9 @@
     def call(self, name, reports, trial=None):
         return None
 
+    def tell(self, name, report):
+        return None
+
     def tell_all(self, reports):
         return None
 
