Let the stand-in of the store come back from a copy, in tests and soak

The store may come back from a copy some seconds old, and gives out its revisions again. The stand-in does so now, and names its era; the soak has a fault of this kind, and its check of the configuration counts a version written during a disturbance once that is over (it left it out for good).

--- a/packages/bilberry_testing/src/bilberry_testing/machines/store.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/store.py
@@ -18,6 +18,7 @@
 
 from .table import ObjectTable, StoredItem, WriteRefusal
 
+HEADER_ERA = "Store-Era"
 OBJECTS_PREFIX = "/objects/"
 PAGE_ITEMS = 500
 REFUSAL_STATUSES = {
@@ -44,12 +45,17 @@
 
 
 class StoreServer:
-    """Serve an object table on a listener and record the calls."""
+    """Serve an object table on a listener and record the calls.
 
-    __slots__ = ("calls", "changed", "faults", "listener", "table")
+    The era that answers name rises with each return of an earlier table; with
+    an era of 0 they name none.
+    """
+
+    __slots__ = ("calls", "changed", "era", "faults", "listener", "table")
 
     def __init__(self, clock: Clock, address: str = "127.0.0.1:0") -> None:
         self.table = ObjectTable()
+        self.era = 0
         self.faults = StoreFaults()
         self.changed = Event()
         self.calls: list[str] = []
@@ -68,12 +74,33 @@
         self.changed.set()
         self.changed.clear()
 
+    def go_down(self) -> None:
+        """Refuse all calls, and end the waiting watches."""
+        self.faults.down_status = HTTPStatus.SERVICE_UNAVAILABLE
+        self.notify()
+
+    def come_back(self) -> None:
+        """Answer again."""
+        self.faults.down_status = 0
+
+    def restore(self, table: ObjectTable) -> None:
+        """Go on from an earlier table; what was written since is lost."""
+        self.table = table
+        self.era += 1
+        self.notify()
+
     def may_overlap(self, head: RequestHead) -> bool:
         """Return that calls on one connection may run in parallel."""
         return True
 
     def handle(self, request: EntryRequest) -> EntryAnswer:
         """Answer one call."""
+        answer = self._handle(request)
+        if self.era:
+            answer.headers.append((HEADER_ERA, str(self.era)))
+        return answer
+
+    def _handle(self, request: EntryRequest) -> EntryAnswer:
         head = request.head
         self.calls.append(f"{head.method} {head.target}")
         faults = self.faults
@@ -140,6 +167,8 @@
         with deadline:
             while self.table.events_since(kind, revision) == []:
                 self.changed.wait()
+                if self.faults.down_status:
+                    return EntryAnswer(self.faults.down_status)
         events = self.table.events_since(kind, revision)
         if events is None:
             return EntryAnswer(HTTPStatus.GONE)
--- a/packages/bilberry_testing/src/bilberry_testing/machines/table.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/table.py
@@ -102,11 +102,17 @@
         return True
 
     def events_since(self, kind: str, revision: int) -> list[TableEvent] | None:
-        """Return the changes after `revision`, None if they were dropped."""
-        if revision < self.last_dropped_revision:
+        """Return the changes after `revision`, None if it lacks them."""
+        if not self.last_dropped_revision <= revision <= self.revision:
             return None
         return [e for e in self.history if e.kind == kind and e.revision > revision]
 
+    def copy(self) -> "ObjectTable":
+        """Return an independent copy of all objects and the history."""
+        kinds = {kind: dict(by_name) for kind, by_name in self.kinds.items()}
+        history = deque(self.history, maxlen=DEFAULT_HISTORY)
+        return ObjectTable(self.revision, self.last_dropped_revision, kinds, history)
+
     def drop_history(self) -> None:
         """Drop the history, so that watches must list again."""
         self.history.clear()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -165,15 +165,18 @@
 
 @CHECKS.register("config")
 def check_configuration(history: History) -> list[str]:
-    """Return calls to a path in force for long that a node didn't know."""
+    """Return calls to a path in force for long that a node didn't know.
+
+    A version that was written during a disturbance counts once it is over.
+    """
     broken = []
     for version in history.versions:
         from_ms = version.accepted_ms + CONFIG_LIMIT_MS
         for call in _calls_of(history, version):
             if call.status != HTTPStatus.NOT_FOUND or call.sent_ms < from_ms:
                 continue
-            disturbed_from_ms = version.accepted_ms - SETTLE_MS
-            if not history.is_disturbed(disturbed_from_ms, call.ended_ms):
+            calm_from_ms = call.sent_ms - SETTLE_MS
+            if not history.is_disturbed(calm_from_ms, call.ended_ms):
                 broken.append(f"{call.request_id}: {call.node} lacks {version.prefix}")
     return broken
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -18,6 +18,7 @@
     upstream_status,
 )
 from bilberry_testing.machines.store import StoreServer
+from bilberry_testing.machines.table import ObjectTable
 
 from .history import ColdTime, ConfigVersion, Disturbance, History, Run
 from .messages import RunLine, UpstreamOptions
@@ -28,6 +29,7 @@
 HOST = "127.0.0.1"
 FRONT_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT = 8381, 8388, 8383, 7200
 GRACE_S = 6
+KIND_CONFIG, KIND_EVACUATIONS = "config", "evacuations"
 HEARTBEAT_MS = 1_500
 LAPSED_HEARTBEATS = 3
 START_TIMEOUT_MS = 30_000
@@ -206,6 +208,20 @@
         self.store.table.delete("servers", name)
         self.store.notify()
 
+    def write_again(self, lost: ObjectTable) -> None:
+        """Write what the operator had written to a table.
+
+        Upstreams do so with their next beat, and nodes themselves.
+        """
+        for kind in (KIND_CONFIG, KIND_EVACUATIONS):
+            names = {item.name for item in lost.items(kind)}
+            for item in self.store.table.items(kind):
+                if item.name not in names:
+                    self.store.table.delete(kind, item.name)
+            for item in lost.items(kind):
+                self.store.table.put(kind, item.name, item.spec)
+        self.store.notify()
+
     def beat(self) -> None:
         """Write the entries of live upstreams, and drop those that lapsed."""
         while True:
@@ -228,7 +244,7 @@
             route_spec("book", "/book/", kind="non_idempotent"),
             route_spec("own", prefix),
         ]
-        self.store.table.put("config", "main", config_of(self.version, routes))
+        self.store.table.put(KIND_CONFIG, "main", config_of(self.version, routes))
         self.store.notify()
         now_ms = self.clock.now_ms()
         if self.history.versions:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,7 @@
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.registry import Registry
 
-from .deployment import Deployment, SoakNode, SoakUpstream
+from .deployment import KIND_EVACUATIONS, Deployment, SoakNode, SoakUpstream
 from .history import Departure, RateLimitTime
 from .messages import FaultOrder, LimitOrder, UpstreamFault
 from .proxy import LinkMode
@@ -21,6 +21,9 @@
 RESTART_DELAY_MS = 300
 START_MS = 3_000
 SLOW_MS = 150
+COPY_AGE_MS = 3_000
+# The time in which upstreams write again what a restored store lost.
+REWRITE_MS = 2_000
 FAULT_FRACTION = 0.3
 COLD_S = 3.0
 RATE_LIMITS_PER_S = (1.0, 3.0, 8.0)
@@ -142,6 +145,27 @@
     act.deployment.store.table.drop_history()
 
 
+@FAULTS.register("store-restored")
+def restore_store(act: Act) -> None:
+    """Let the store be away, and come back from a copy some seconds old.
+
+    The operator and the upstreams write again what was lost, and the operator
+    a change that had to wait, before nodes reach the store.
+    """
+    deployment = act.deployment
+    store = deployment.store
+    copy = store.table.copy()
+    gevent.sleep(COPY_AGE_MS / MS_PER_SECOND)
+    act.record("store-restored", extra_ms=REWRITE_MS)
+    store.go_down()
+    lost = store.table
+    store.restore(copy)
+    deployment.write_again(lost)
+    deployment.write_config()
+    act.sleep()
+    store.come_back()
+
+
 @FAULTS.register("store-cut")
 def cut_from_store(act: Act) -> None:
     """Cut one node off the store, in some way."""
@@ -220,7 +244,7 @@
     zone = act.rng.choice([node.zone for node in deployment.nodes])
     duration_ms = EVACUATION_LIMIT_MS + act.duration_ms
     act.record("evacuation", planned=True, extra_ms=EVACUATION_LIMIT_MS)
-    deployment.store.table.put("evacuations", zone, {})
+    deployment.store.table.put(KIND_EVACUATIONS, zone, {})
     deployment.store.notify()
     from_ms = deployment.clock.now_ms()
     deployment.history.departures += [
@@ -229,7 +253,7 @@
         if upstream.zone == zone
     ]
     gevent.sleep(duration_ms / MS_PER_SECOND)
-    deployment.store.table.delete("evacuations", zone)
+    deployment.store.table.delete(KIND_EVACUATIONS, zone)
     deployment.store.notify()
 
 
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -27,3 +27,9 @@
     PlannedFault("rate-limit", 2_500, 1_000, 4),
     PlannedFault("node-kill", 3_500, 1_000, 5),
 )
+
+# A node skipped a version that was written below the revision it knew.
+STORE_FROM_A_COPY = (
+    PlannedFault("store-restored", 500, 2_000, 1),
+    PlannedFault("configuration", 2_800, 1_000, 2),
+)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -4,7 +4,11 @@
 
 from soak.run import QUICK_SIZE, SoakRun
 
-from .regressions import LAST_UPSTREAM_OF_A_REGION, RATE_LIMITS_BESIDE_RESTARTS
+from .regressions import (
+    LAST_UPSTREAM_OF_A_REGION,
+    RATE_LIMITS_BESIDE_RESTARTS,
+    STORE_FROM_A_COPY,
+)
 
 SEED = 1
 
@@ -29,3 +33,9 @@
     run.schedule = list(RATE_LIMITS_BESIDE_RESTARTS)
     assert broken_in(run) == []
     assert run.history.rate_limits
+
+
+def test_nodes_know_what_was_written_to_a_store_that_came_back_older(tmp_path):
+    run = SoakRun(5, QUICK_SIZE, tmp_path)
+    run.schedule = list(STORE_FROM_A_COPY)
+    assert broken_in(run) == []
