Never compare revisions of before a store's return with those after it

Cause: a store that comes back from a copy gives out its revisions again. A node's watch went on from the revision it knew; once the store had passed that, it answered as if nothing were missing, and a version written below it was skipped. What peers told of their revisions hid it as well.

Change: answers name the store's era (Store-Era). One of a later era is not applied: the feed lists again, and forgets the revisions it knew, its own and its peers'. Heartbeats and summaries name the era of their revisions, so that a node whose watch is silent learns of it too. A list that went back begins an era as well, where none is named. Pages of two eras are no list.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
@@ -43,6 +43,9 @@
     def on_outage(self) -> None:
         """Keep the installed configuration."""
 
+    def on_store_restored(self) -> None:
+        """Keep the installed configuration, as the store's may be older."""
+
     def _install_record(self, record: Record) -> None:
         if record.name != self.name:
             return
@@ -88,6 +91,9 @@
     def on_outage(self) -> None:
         """Keep the known names."""
 
+    def on_store_restored(self) -> None:
+        """Take the names of the store that came back."""
+
     def _set(self, names: frozenset[str]) -> None:
         if names != self.names:
             self.names = names
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -31,6 +31,7 @@
 from .listing import read_snapshot
 from .source import Changes, ObjectSource, Snapshot
 from .store_breaker import StoreBreaker
+from .store_era import StoreEra
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -46,6 +47,7 @@
     NONE = auto()
     RENEWED = auto()
     CHANGED = auto()
+    OTHER_ERA = auto()
 
 
 class FeedListener(Protocol):
@@ -63,6 +65,10 @@
         """Record that the store cannot be read at present."""
         ...
 
+    def on_store_restored(self) -> None:
+        """Record that the next snapshot is of a store that lost changes."""
+        ...
+
 
 class Feed:
     """List a kind, then watch it; list again when its history is gone.
@@ -73,7 +79,8 @@
     that only renew entries it pauses until peers know more. Lists are
     always exact, so that nothing of the past returns with a start, and
     `revision` is 0 until one is complete. While the store fails, the node's
-    feeds share one probe of it.
+    feeds share one probe of it. When the store has come back from a copy,
+    all that is known is listed again, as its revisions are given out again.
     """
 
     __slots__ = (
@@ -83,16 +90,20 @@
         "calls",
         "catch_up_greenlet",
         "clock",
+        "era",
         "event_revision",
         "greenlet",
         "kind",
         "last_answer_ms",
+        "last_revision",
         "listener",
         "may_be_stale",
         "peers_know_more",
         "peers_revision",
         "revision",
+        "sought_era",
         "source",
+        "store_era",
     )
 
     def __init__(
@@ -104,8 +115,13 @@
         seed: int,
         may_be_stale: Callable[[], bool],
         breaker: StoreBreaker,
+        store_era: StoreEra,
     ) -> None:
         self.clock = clock
+        self.store_era = store_era
+        self.era = 0
+        self.sought_era = 0
+        self.last_revision = 0
         self.may_be_stale = may_be_stale
         self.breaker = breaker
         self.revision = 0
@@ -145,7 +161,9 @@
 
     def list_and_follow(self) -> None:
         """List the kind, and watch it until it must be listed again."""
+        self.last_revision = max(self.revision, self.last_revision)
         self.revision = 0
+        self.sought_era = self.store_era.value
         is_probe = self.wait_for_store()
         listed = read_snapshot(self.kind, self.source)
         if isinstance(listed, Failure):
@@ -153,10 +171,32 @@
             return
         snapshot = listed.unwrap()
         self.record_answer()
+        if snapshot.era != self.era or snapshot.revision < self.last_revision:
+            self.begin_era(snapshot)
         self.revision = snapshot.revision
         self.listener.on_snapshot(snapshot)
         self.follow()
 
+    def begin_era(self, snapshot: Snapshot) -> None:
+        """Forget the revisions of the store's era before this snapshot."""
+        if self.last_revision:
+            _LOGGER.warning(
+                "discovery: The store went from revision %s of era %s to %s of "
+                "era %s; %s are read again.",
+                self.last_revision,
+                self.era,
+                snapshot.revision,
+                snapshot.era,
+                self.kind,
+            )
+            self.listener.on_store_restored()
+        self.era = snapshot.era
+        self.store_era.raise_to(snapshot.era)
+        self.last_revision = 0
+        self.event_revision = 0
+        self.peers_revision = 0
+        self.behind_since_ms = None
+
     def follow(self) -> None:
         """Watch until the store drops the history."""
         while True:
@@ -174,7 +214,10 @@
                 continue
             changes = watched.unwrap()
             self.record_answer()
-            self.pause(self.apply(changes, revision), is_stale)
+            effect = self.apply(changes, revision)
+            if effect is BatchEffect.OTHER_ERA:
+                return
+            self.pause(effect, is_stale)
 
     def pause(self, effect: BatchEffect, is_stale: bool) -> None:
         """Wait after a batch of changes, longer if it changed nothing."""
@@ -203,6 +246,8 @@
         """Apply changes after `since`, unless newer ones already are."""
         if since < self.revision:
             return BatchEffect.NONE
+        if changes.era and changes.era != self.era:
+            return self.handle_other_era(changes.era)
         self.revision = max(self.revision, changes.revision)
         if self.peers_revision <= self.revision:
             self.peers_know_more.clear()
@@ -214,8 +259,19 @@
         self.event_revision = max(self.event_revision, *revisions)
         return BatchEffect.CHANGED
 
-    def on_peers_revision(self, revision: int, now_ms: int) -> None:
+    def handle_other_era(self, era: int) -> BatchEffect:
+        """Record the era of an answer; one of an earlier era is outdated."""
+        self.store_era.raise_to(era)
+        return BatchEffect.RENEWED if era < self.era else BatchEffect.OTHER_ERA
+
+    def revision_in(self, era: int) -> int:
+        """Return the revision of the latest change known in an era, or 0."""
+        return self.event_revision if era == self.era else 0
+
+    def on_peers_revision(self, era: int, revision: int, now_ms: int) -> None:
         """Record the revision of the latest change that a peer knows."""
+        if era != self.era:
+            return
         self.peers_revision = max(self.peers_revision, revision)
         if self.peers_revision <= self.revision:
             self.behind_since_ms = None
@@ -225,6 +281,7 @@
 
     def catch_up_if_behind(self, now_ms: int) -> None:
         """Start an exact read if this feed stayed behind its peers."""
+        self.list_new_era()
         if self.behind_since_ms is None or self.revision == 0:
             return
         if self.peers_revision <= self.revision:
@@ -232,6 +289,13 @@
         elif now_ms - self.behind_since_ms >= CATCH_UP_AFTER_MS:
             self.start_catch_up(now_ms)
 
+    def list_new_era(self) -> None:
+        """List again if the store is said to have begun another era."""
+        if self.breaker.is_open or self.store_era.value <= self.sought_era:
+            return
+        if self.era < self.store_era.value:
+            self.restart()
+
     def start_catch_up(self, now_ms: int) -> None:
         """Start an exact read, unless one runs or the store fails."""
         is_reading = (
@@ -255,7 +319,8 @@
         read = self.source.watch(self.kind, revision, CATCH_UP_WAIT_MS, False)
         if not isinstance(read, Failure):
             self.record_answer()
-            self.apply(read.unwrap(), revision)
+            if self.apply(read.unwrap(), revision) is BatchEffect.OTHER_ERA:
+                self.restart()
         elif read.failure().kind is StoreErrorKind.GONE:
             self.handle_gone()
             self.restart()
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/listing.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/listing.py
@@ -22,6 +22,9 @@
         if isinstance(read, Failure):
             return read
         changes = read.unwrap()
+        if changes.era and changes.era != snapshot.era:
+            reason = f"era {changes.era} after {snapshot.era}"
+            return Failure(StoreError(kind=StoreErrorKind.GONE, reason=reason))
         if changes.revision > snapshot.revision:
             snapshot = snapshot.with_changes(changes)
         elif changes.changes:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
@@ -24,9 +24,10 @@
     `in_flight` maps each upstream to the node's requests there, without the
     zeros; `suspects` lists the requests suspected of crashing upstreams.
     `revisions` are those of the latest change known of each of the store's
-    kinds, in the order of the node's feeds. `slow_upstreams` are those that
-    any node lately found slow. `rate_limits` are what answers to the node
-    named, and `send_rates` the node's requests a second at limited upstreams.
+    kinds in `store_era`, in the order of the node's feeds. `slow_upstreams`
+    are those that any node lately found slow. `rate_limits` are what answers
+    to the node named, and `send_rates` the node's requests a second at limited
+    upstreams.
     """
 
     node: NodeInfo
@@ -39,6 +40,7 @@
     slow_upstreams: list[SlowReport] = []
     rate_limits: list[RateLimitReport] = []
     send_rates: dict[str, float] = {}
+    store_era: int = 0
 
 
 class DomainSummary(msgspec.Struct, array_like=True, tag="domain"):
@@ -65,6 +67,7 @@
     slow_upstreams: list[SlowReport] = []
     rate_limits: list[RateLimitReport] = []
     send_rates: dict[str, float] = {}
+    store_era: int = 0
 
 
 class TrialRequest(msgspec.Struct, frozen=True):
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
@@ -35,6 +35,7 @@
     ready: bool = False
     in_flight: dict[str, int] = field(default_factory=dict)
     revisions: list[int] = field(default_factory=list)
+    store_era: int = 0
     rate_limits: list[RateLimitReport] = field(default_factory=list)
     send_rates: dict[str, float] = field(default_factory=dict)
 
@@ -84,6 +85,7 @@
         peer.ready = heartbeat.ready
         peer.in_flight = heartbeat.in_flight
         peer.revisions = heartbeat.revisions
+        peer.store_era = heartbeat.store_era
         peer.rate_limits = heartbeat.rate_limits
         peer.send_rates = heartbeat.send_rates
         return True
@@ -124,8 +126,9 @@
             in_flight.update(peer.in_flight)
             send_rates.update(peer.send_rates)
             rate_limits.append(peer.rate_limits)
-            pairs = zip(revisions, peer.revisions, strict=False)
-            revisions = [max(pair) for pair in pairs] or revisions
+            if peer.store_era == own.store_era:
+                pairs = zip(revisions, peer.revisions, strict=False)
+                revisions = [max(pair) for pair in pairs] or revisions
             if now_ms - (peer.first_heartbeat_ms or 0) < DETAILS_MS:
                 details.append(peer.info)
         return DomainSummary(
@@ -142,6 +145,7 @@
             slow_upstreams=own.slow_upstreams,
             rate_limits=newest_reports(rate_limits),
             send_rates=dict(send_rates),
+            store_era=own.store_era,
         )
 
     def leads_domain(self, now_ms: int) -> bool:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/source.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/source.py
@@ -30,6 +30,7 @@
 
     changes: list[Change] = field(default_factory=list)
     revision: int = 0
+    era: int = 0
 
 
 @dataclass(slots=True)
@@ -37,12 +38,13 @@
     """Represent all objects of a kind, with all changes up to `revision`.
 
     Of a list in pages, some may be as of later revisions, up to
-    `latest_revision`.
+    `latest_revision`. The `era` is 0 if the store names none.
     """
 
     records: list[Record]
     revision: int
     latest_revision: int = 0
+    era: int = 0
 
     @property
     def is_consistent(self) -> bool:
@@ -66,7 +68,9 @@
                 by_name.pop(record.name, None)
             else:
                 by_name[record.name] = record
-        return Snapshot(list(by_name.values()), changes.revision, self.latest_revision)
+        return Snapshot(
+            list(by_name.values()), changes.revision, self.latest_revision, self.era
+        )
 
 
 class ObjectSource(Protocol):
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -106,6 +106,10 @@
         """Record that the store cannot be read at present."""
         self.outage_seen = True
 
+    def on_store_restored(self) -> None:
+        """Keep missing upstreams for a while, as after an outage."""
+        self.outage_seen = True
+
     def expire(self, now_ms: int) -> None:
         """Remove the upstreams that did not register again in time."""
         expired = [n for n, at_ms in self.kept_until_ms.items() if now_ms >= at_ms]
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -34,6 +34,7 @@
 from bilberry_fleet.discovery.messages import DomainSummary, Heartbeat, NodeInfo
 from bilberry_fleet.discovery.nodes import PeerTable
 from bilberry_fleet.discovery.source import Changes, Record, Snapshot
+from bilberry_fleet.discovery.store_era import StoreEra
 from bilberry_fleet.discovery.suspect_calls import SuspectCalls
 from bilberry_steering.nearest import NodeLocation
 from bilberry_store.backoff import Backoff
@@ -64,6 +65,7 @@
         "platform",
         "records",
         "state",
+        "store_era",
         "suspects",
         "task",
     )
@@ -82,6 +84,7 @@
         self.state = state
         self.is_ready = is_ready
         self.feeds: list[Feed] = []
+        self.store_era = StoreEra()
         self.peers = PeerTable(node_info)
         self.records: dict[str, NodeInfo] = {}
         self.heartbeat_number = 0
@@ -195,10 +198,11 @@
             config.version if config else 0,
             self.state.in_flight(),
             self.suspects.reports(),
-            [feed.event_revision for feed in self.feeds],
+            [feed.revision_in(self.store_era.value) for feed in self.feeds],
             make_slow_reports(upstreams, now_ms),
             make_rate_limit_reports(upstreams, now_ms),
             self.state.rate_limiter.send_rates(upstreams, now_ms),
+            self.store_era.value,
         )
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -208,7 +212,7 @@
         self.state.peer_loads.update(name, heartbeat.in_flight, now_ms)
         self.merge_reports(heartbeat.suspects, heartbeat.slow_upstreams, now_ms)
         self.merge_rates(name, heartbeat.send_rates, heartbeat.rate_limits, now_ms)
-        self.merge_revisions(heartbeat.revisions, now_ms)
+        self.merge_revisions(heartbeat.store_era, heartbeat.revisions, now_ms)
         self.update_node_count()
 
     def on_summary(self, summary: DomainSummary) -> None:
@@ -223,7 +227,7 @@
         self.merge_rates(
             summary.failure_domain, summary.send_rates, summary.rate_limits, now_ms
         )
-        self.merge_revisions(summary.revisions, now_ms)
+        self.merge_revisions(summary.store_era, summary.revisions, now_ms)
 
     def merge_reports(
         self,
@@ -251,10 +255,11 @@
         for upstream in merge_rate_limit_reports(rate_limits, upstreams, now_ms):
             log_rate_limit(upstream, "a peer")
 
-    def merge_revisions(self, revisions: list[int], now_ms: int) -> None:
+    def merge_revisions(self, era: int, revisions: list[int], now_ms: int) -> None:
         """Tell the feeds which changes peers know."""
+        self.store_era.raise_to(era)
         for feed, revision in zip(self.feeds, revisions, strict=False):
-            feed.on_peers_revision(revision, now_ms)
+            feed.on_peers_revision(era, revision, now_ms)
 
     def may_read_stale(self) -> bool:
         """Return whether another node of the domain reads exactly.
@@ -291,6 +296,9 @@
     def on_outage(self) -> None:
         """Keep the known nodes during an outage of the store."""
 
+    def on_store_restored(self) -> None:
+        """Keep the known nodes; those that live are known by heartbeats."""
+
     def _put(self, record: Record) -> None:
         decoded = self.platform.decode_node(record)
         if isinstance(decoded, Failure):
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -243,6 +243,7 @@
                 seed + index,
                 self.membership.may_read_stale,
                 breaker,
+                self.membership.store_era,
             )
             for index, (kind, listener) in enumerate(listeners)
         ]
--- a/tests/bilberry_fleet/discovery/common.py
+++ b/tests/bilberry_fleet/discovery/common.py
@@ -9,6 +9,7 @@
 from bilberry_fleet.discovery.feed import Feed
 from bilberry_fleet.discovery.source import Change, Changes, Record, Snapshot
 from bilberry_fleet.discovery.store_breaker import StoreBreaker
+from bilberry_fleet.discovery.store_era import StoreEra
 
 
 class ScriptedSource:
@@ -51,6 +52,9 @@
     def on_outage(self):
         self.applied.append("outage")
 
+    def on_store_restored(self):
+        self.applied.append("restored")
+
 
 def changes(*revisions, as_of=0):
     found = [Change(Record(f"u{r}", r, {}), False) for r in revisions]
@@ -70,6 +74,7 @@
             1,
             lambda: stale,
             StoreBreaker(1),
+            StoreEra(),
         )
 
     def __enter__(self):
@@ -81,8 +86,9 @@
     def __exit__(self, *exc):
         self.feed.close()
 
-    def tell(self, revision):
-        self.feed.on_peers_revision(revision, self.clock.now_ms())
+    def tell(self, revision, era=0):
+        self.feed.store_era.raise_to(era)
+        self.feed.on_peers_revision(era, revision, self.clock.now_ms())
 
     def check(self, after_ms=0):
         self.clock.advance(after_ms)
--- a/tests/bilberry_fleet/discovery/test_feed.py
+++ b/tests/bilberry_fleet/discovery/test_feed.py
@@ -13,6 +13,7 @@
 from bilberry_fleet.discovery.feed import Feed
 from bilberry_fleet.discovery.source import Record, Snapshot
 from bilberry_fleet.discovery.store_breaker import StoreBreaker
+from bilberry_fleet.discovery.store_era import StoreEra
 from bilberry_router.entry.const import EXPIRY_INTERVAL_MS
 from bilberry_store.errors import StoreError, StoreErrorKind
 
@@ -182,7 +183,9 @@
     """Reads begin at any time, end in any order and may miss the latest."""
     history = History(changed)
     listener = StateListener()
-    feed = Feed("servers", None, listener, ManualClock(), 1, bool, StoreBreaker(1))
+    feed = Feed(
+        "servers", None, listener, ManualClock(), 1, bool, StoreBreaker(1), StoreEra()
+    )
     under_way = []
     for missed, place, begins in steps:
         if begins or not under_way:
--- a/tests/bilberry_fleet/discovery/test_store_breaker.py
+++ b/tests/bilberry_fleet/discovery/test_store_breaker.py
@@ -9,6 +9,7 @@
 from bilberry_fleet.discovery.feed import Feed
 from bilberry_fleet.discovery.source import Changes, Snapshot
 from bilberry_fleet.discovery.store_breaker import StoreBreaker
+from bilberry_fleet.discovery.store_era import StoreEra
 from bilberry_store.errors import StoreError, StoreErrorKind
 
 from .common import RecordingListener, ScriptedSource
@@ -27,7 +28,16 @@
         self.breaker = StoreBreaker(1)
         self.listeners = [RecordingListener() for _ in KINDS]
         self.feeds = [
-            Feed(kind, self.source, listener, self.clock, 1, lambda: True, self.breaker)
+            Feed(
+                kind,
+                self.source,
+                listener,
+                self.clock,
+                1,
+                lambda: True,
+                self.breaker,
+                StoreEra(),
+            )
             for kind, listener in zip(KINDS, self.listeners, strict=True)
         ]
 
