Write the node's entry again when the store has lost it

A store that comes back from a copy of before has lost it, as has one in which a late removal by the node's former run took effect; nodes that start later then don't know this one until it beats to them.

--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -155,6 +155,15 @@
             )
             gevent.sleep(backoff.next_delay_ms() / MS_PER_SECOND)
 
+    def register_again(self) -> None:
+        """Write the node's entry if the store has lost it."""
+        is_registering = self.task is None or not self.task.ready()
+        is_listed = self.records.get(self.node_info.name) == self.node_info
+        if self.leaving or is_registering or is_listed:
+            return
+        _LOGGER.warning("fleet: The store lacks this node's entry.")
+        self.task = gevent.spawn(self.register)
+
     def learn_suspects(self) -> None:
         """Learn which requests peers suspect, before this node is ready.
 
@@ -282,6 +291,7 @@
         for record in snapshot.records:
             self._put(record)
         self._update_peers()
+        self.register_again()
 
     def on_changes(self, changes: Changes) -> bool:
         """Apply changes of the registered nodes."""
@@ -291,6 +301,8 @@
             else:
                 self._put(change.record)
         self._update_peers()
+        if any(change.record.name == self.node_info.name for change in changes.changes):
+            self.register_again()
         return True
 
     def on_outage(self) -> None:
