Let an old copy of the store not bring back upstreams that have left

Change: after a return, an entry of an incarnation that was draining or removed doesn't count, nor one of an earlier incarnation. One that is still listed after the time in which the store drops silent entries is used again.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -24,6 +24,10 @@
 
 # Upstreams get this long to register again after a store outage.
 REREGISTRATION_GRACE_MS = 2_000
+# A store that came back from a copy may list what was removed since.
+DEPARTED_MS = 60_000
+# Outlasts the time after which the store drops the entry of a silent upstream.
+SILENT_ENTRY_MS = 6_000
 
 # Heartbeats within a failure domain get rarer with the number of its nodes.
 MIN_HEARTBEAT_MS = 250
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -10,7 +10,7 @@
 from bilberry_core.outcome import Failure, Result
 from bilberry_resources.routing import PoolConfig
 
-from .const import REREGISTRATION_GRACE_MS
+from .const import DEPARTED_MS, REREGISTRATION_GRACE_MS, SILENT_ENTRY_MS
 from .source import Changes, Record, Snapshot
 
 _LOGGER = logging.getLogger(__name__)
@@ -28,6 +28,46 @@
     cold_left_ms: int
 
 
+@dataclass(slots=True, frozen=True)
+class WithheldRecord:
+    """Store an entry that may be outdated, and until when it isn't used."""
+
+    record: Record
+    until_ms: int
+
+
+@dataclass(slots=True, frozen=True)
+class Departure:
+    """Store which incarnation of an upstream was removed, and when."""
+
+    started_at_ms: int
+    at_ms: int
+
+
+class DepartedUpstreams:
+    """Remember for a while which incarnations were removed, by name."""
+
+    __slots__ = ("latest",)
+
+    def __init__(self) -> None:
+        self.latest: dict[str, Departure] = {}
+
+    def add(self, spec: UpstreamSpec, now_ms: int) -> None:
+        """Record that an incarnation was removed."""
+        self.latest[spec.name] = Departure(spec.started_at_ms, now_ms)
+
+    def has(self, spec: UpstreamSpec) -> bool:
+        """Return whether an incarnation, or a later one, was removed."""
+        departure = self.latest.get(spec.name)
+        return departure is not None and spec.started_at_ms <= departure.started_at_ms
+
+    def expire(self, now_ms: int) -> None:
+        """Forget the incarnations that were removed long ago."""
+        for name, departure in list(self.latest.items()):
+            if now_ms - departure.at_ms >= DEPARTED_MS:
+                del self.latest[name]
+
+
 UpstreamDecoder = Callable[[Record], Result[UpstreamEntry, str]]
 
 
@@ -38,20 +78,26 @@
     of anything else.
     An entry that is missing right after a store outage may just have
     expired, so its upstream is kept for a while and can register again.
+    An entry of a restored store may be older than what is known: it doesn't
+    bring back an upstream that was draining or removed, unless it is still
+    listed after the time in which the store drops those that are silent.
     """
 
     __slots__ = (
         "clock",
         "decode",
+        "departed",
         "directory",
         "has_news",
         "has_snapshot",
+        "is_restored",
         "kept_until_ms",
         "on_change",
         "outage_seen",
         "pool_changed",
         "pools",
         "store_recovered_at_ms",
+        "withheld",
     )
 
     def __init__(
@@ -72,14 +118,19 @@
         self.outage_seen = False
         self.store_recovered_at_ms: int | None = None
         self.kept_until_ms: dict[str, int] = {}
+        self.is_restored = False
+        self.departed = DepartedUpstreams()
+        self.withheld: dict[str, WithheldRecord] = {}
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the directory's content with the snapshot."""
         self._record_recovery()
+        self.withheld.clear()
         present = set()
         for record in snapshot.records:
-            if self._put(record):
+            if self._put(record, may_be_outdated=self.is_restored):
                 present.add(record.name)
+        self.is_restored = False
         for name in [n for n in self.directory.by_name if n not in present]:
             self._handle_missing(name)
         if not self.has_snapshot:
@@ -97,6 +148,7 @@
         self._record_recovery()
         self.has_news = False
         for change in changes.changes:
+            self.withheld.pop(change.record.name, None)
             if change.deleted or not self._put(change.record):
                 self._handle_missing(change.record.name)
         self._report_change()
@@ -107,8 +159,9 @@
         self.outage_seen = True
 
     def on_store_restored(self) -> None:
-        """Keep missing upstreams for a while, as after an outage."""
+        """Record that the next snapshot may be older than what is known."""
         self.outage_seen = True
+        self.is_restored = True
 
     def expire(self, now_ms: int) -> None:
         """Remove the upstreams that did not register again in time."""
@@ -116,6 +169,11 @@
         for name in expired:
             del self.kept_until_ms[name]
             self._remove(name, "did not register again")
+        for name, withheld in list(self.withheld.items()):
+            if now_ms >= withheld.until_ms:
+                del self.withheld[name]
+                self._put(withheld.record)
+        self.departed.expire(now_ms)
         self._report_change()
 
     def _report_change(self) -> None:
@@ -129,7 +187,7 @@
             self.outage_seen = False
             self.store_recovered_at_ms = self.clock.now_ms()
 
-    def _put(self, record: Record) -> bool:
+    def _put(self, record: Record, may_be_outdated: bool = False) -> bool:
         decoded = self.decode(record)
         if isinstance(decoded, Failure):
             _LOGGER.warning(
@@ -137,14 +195,22 @@
             )
             return False
         entry = decoded.unwrap()
+        now_ms = self.clock.now_ms()
+        if may_be_outdated and self.departed.has(entry.spec):
+            until_ms = now_ms + SILENT_ENTRY_MS
+            self.withheld[record.name] = WithheldRecord(record, until_ms)
+            return False
         if self.kept_until_ms.pop(record.name, None) is not None:
             self.has_news = True
         previous = self.directory.by_name.get(record.name)
-        is_changed = (
-            previous is None
-            or previous.spec != entry.spec
-            or previous.draining != entry.draining
-        )
+        started_at_ms = entry.spec.started_at_ms
+        if may_be_outdated and previous and started_at_ms < previous.spec.started_at_ms:
+            return True
+        is_new = previous is None or previous.spec != entry.spec
+        draining = entry.draining
+        if may_be_outdated and previous is not None and not is_new:
+            draining |= previous.draining
+        is_changed = is_new or (previous is not None and previous.draining != draining)
         self.has_news |= is_changed
         # The first snapshot is logged as a whole.
         if is_changed and self.has_snapshot:
@@ -153,13 +219,12 @@
                 record.name,
                 entry.spec.service,
                 entry.spec.failure_domain,
-                entry.draining,
+                draining,
                 entry.cold_left_ms,
             )
-        if previous is None or previous.spec != entry.spec:
-            self.pool_changed = True
+        self.pool_changed |= is_new
         former = self.directory.holders.get(entry.spec.address)
-        upstream = self.directory.put(entry.spec, entry.draining)
+        upstream = self.directory.put(entry.spec, draining)
         if former is not None and self.directory.is_replaced(former):
             _LOGGER.info(
                 "discovery: Upstream %s was replaced at its address by %s.",
@@ -168,7 +233,6 @@
             )
         pool = self.pools.get(entry.spec.service)
         cold_per_s = pool.cold_requests_per_s if pool else 0.0
-        now_ms = self.clock.now_ms()
         if entry.cold_left_ms > 0 and not upstream.is_cold(now_ms):
             self.has_news = True
         self.directory.mark_cold(upstream, entry.cold_left_ms, cold_per_s, now_ms)
@@ -190,7 +254,9 @@
         self._remove(name, "entry is gone")
 
     def _remove(self, name: str, reason: str) -> None:
-        if self.directory.remove(name) is not None:
+        removed = self.directory.remove(name)
+        if removed is not None:
+            self.departed.add(removed.spec, self.clock.now_ms())
             self.pool_changed = True
             self.has_news = True
             _LOGGER.info("discovery: Removed upstream %s: %s.", name, reason)
