--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
@@ -3,9 +3,11 @@
 import logging
 from collections.abc import Callable
 
+from bilberry_core.clock import Clock
 from bilberry_core.outcome import Failure, Result
 from bilberry_resources.routing import RoutingConfig
 
+from .const import REREGISTRATION_GRACE_MS
 from .source import Changes, Record, Snapshot
 
 _LOGGER = logging.getLogger(__name__)
@@ -65,36 +67,59 @@
 
 
 class NamesListener:
-    """Track the names of all objects of a kind."""
+    """Track the names of all objects of a kind.
 
-    __slots__ = ("names", "on_names")
+    Names that a restored store lacks are kept for a while, as it may have
+    lost them and they are written again.
+    """
 
-    def __init__(self, on_names: Callable[[frozenset[str]], None]) -> None:
+    __slots__ = ("clock", "kept", "kept_until_ms", "listed", "names", "on_names")
+
+    def __init__(
+        self, on_names: Callable[[frozenset[str]], None], clock: Clock
+    ) -> None:
         self.names: frozenset[str] = frozenset()
+        self.listed: frozenset[str] = frozenset()
+        self.kept: frozenset[str] = frozenset()
+        self.kept_until_ms: int | None = None
         self.on_names = on_names
+        self.clock = clock
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the names with those in the snapshot."""
-        self._set(frozenset(record.name for record in snapshot.records))
+        self.listed = frozenset(record.name for record in snapshot.records)
+        self._update()
 
     def on_changes(self, changes: Changes) -> bool:
         """Add and remove the names in a batch of changes."""
-        names = set(self.names)
+        names = set(self.listed)
         for change in changes.changes:
             if change.deleted:
                 names.discard(change.record.name)
+                self.kept -= {change.record.name}
             else:
                 names.add(change.record.name)
-        self._set(frozenset(names))
+        self.listed = frozenset(names)
+        self._update()
         return True
 
     def on_outage(self) -> None:
         """Keep the known names."""
 
     def on_store_restored(self) -> None:
-        """Take the names of the store that came back."""
-
-    def _set(self, names: frozenset[str]) -> None:
+        """Keep the known names for a while, whatever is listed."""
+        self.kept = self.names
+        self.kept_until_ms = self.clock.now_ms() + REREGISTRATION_GRACE_MS
+
+    def expire(self, now_ms: int) -> None:
+        """Drop the kept names that were not written again in time."""
+        if self.kept_until_ms is not None and now_ms >= self.kept_until_ms:
+            self.kept_until_ms = None
+            self.kept = frozenset()
+            self._update()
+
+    def _update(self) -> None:
+        names = self.listed | self.kept
         if names != self.names:
             self.names = names
             self.on_names(names)
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -62,6 +62,7 @@
         "connections",
         "draining",
         "entry_listener",
+        "evacuation_listener",
         "feeds",
         "forwarder",
         "listeners",
@@ -111,6 +112,7 @@
             clock,
             self.state.selector.ranks.clear,
         )
+        self.evacuation_listener = NamesListener(self.evacuate, clock)
         self.feeds = self._feeds(stable_hash(name))
         self.membership.feeds = self.feeds
         self.entry_listener = Listener(
@@ -191,6 +193,7 @@
             gevent.sleep(EXPIRY_INTERVAL_MS / MS_PER_SECOND)
             now_ms = self.clock.now_ms()
             self.upstream_listener.expire(now_ms)
+            self.evacuation_listener.expire(now_ms)
             self.connections.close_expired()
             self.state.peer_loads.expire(now_ms)
             self.state.adjust_rate_limits(now_ms)
@@ -231,7 +234,7 @@
         listeners: list[tuple[str, FeedListener]] = [
             (kinds.config, config),
             (kinds.upstreams, self.upstream_listener),
-            (kinds.evacuations, NamesListener(self.evacuate)),
+            (kinds.evacuations, self.evacuation_listener),
             (kinds.nodes, self.membership),
         ]
         return [
