--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -75,6 +75,28 @@
         return self.per_s if self.at_ms <= now_ms < self.end_ms else None
 
 
+@dataclass(slots=True, frozen=True)
+class RestartSpell:
+    """Describe a time in which a share of a service's upstreams is down.
+
+    They refuse connections until `end_ms`, when they start again under their
+    names, cold for `cold_ms`. Each node reads the new entry `min_news_ms` to
+    `max_news_ms` later.
+    """
+
+    service: str
+    at_ms: int
+    end_ms: int
+    share: float
+    cold_ms: int = 3_000
+    min_news_ms: int = 600
+    max_news_ms: int = 1_600
+
+    def is_down(self, now_ms: int) -> bool:
+        """Return whether the upstreams refuse connections."""
+        return self.at_ms <= now_ms < self.end_ms
+
+
 @dataclass(slots=True, frozen=True)
 class DeploymentModel:
     """Describe regions, nodes and load; delays are one-way, in ms.
@@ -92,6 +114,8 @@
     region_ms: int = 55
     slow_spell: SlowSpell | None = None
     rate_limit_spell: RateLimitSpell | None = None
+    restart_spell: RestartSpell | None = None
+    cold_per_s: float = 6.0
 
     def load_factor(self, region: str, now_ms: int) -> float:
         """Return a region's load at a time, as a ratio to its mean."""
@@ -137,6 +161,7 @@
     queue_limit: int
     slow_spell: SlowSpell | None = None
     rate_limit_spell: RateLimitSpell | None = None
+    restart_spell: RestartSpell | None = None
     arrivals_ms: list[int] = field(default_factory=list)
     running: int = 0
     waiting: deque[Any] = field(default_factory=deque)
--- a/bench/placement_node.py
+++ b/bench/placement_node.py
@@ -83,7 +83,15 @@
         )
         for service in model.services
     )
-    pools = {service.name: PoolConfig(service.name) for service in model.services}
+    spell = model.restart_spell
+    pools = {
+        service.name: PoolConfig(
+            service.name,
+            cold_start_ms=spell.cold_ms if spell else 0,
+            cold_requests_per_s=model.cold_per_s,
+        )
+        for service in model.services
+    }
     state.install(RoutingConfig(1, routes, pools))
     for spec in specs:
         state.upstreams.put(spec, draining=False)
--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -1,7 +1,7 @@
 """Play a fleet's requests through the real placement, on a manual clock."""
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TypeVar
 
 from bilberry_balance.placement.admission import Refusal
@@ -21,6 +21,7 @@
     Call,
     DeploymentModel,
     RateLimitSpell,
+    RestartSpell,
     ServiceModel,
     SlowSpell,
     UpstreamModel,
@@ -29,7 +30,7 @@
 from .placement_node import SimulatedNode, make_node
 from .placement_peers import PeerMessages
 
-Spell = TypeVar("Spell", SlowSpell, RateLimitSpell)
+Spell = TypeVar("Spell", SlowSpell, RateLimitSpell, RestartSpell)
 
 CLIENT_MS = 2
 QUEUED_PER_SLOT = 3
@@ -89,6 +90,7 @@
                     service.slots * QUEUED_PER_SLOT,
                     spell_of(self.model.slow_spell, service, index),
                     spell_of(self.model.rate_limit_spell, service, index),
+                    spell_of(self.model.restart_spell, service, index),
                 )
 
     def run(self, duration_ms: int) -> None:
@@ -100,8 +102,27 @@
                 first_ms = self.rng.randrange(QUEUE_POLL_MS)
                 self.loop.at(first_ms, self.poll_queues, node)
                 self.loop.at(first_ms, self.adjust_rate_limits, node)
+        for name, upstream in self.upstreams.items():
+            if upstream.restart_spell is not None:
+                self.schedule_news(name, upstream.restart_spell)
         self.loop.run(duration_ms)
 
+    def schedule_news(self, name: str, spell: RestartSpell) -> None:
+        """Let each node read the entry of an upstream that started again."""
+        for nodes in self.nodes.values():
+            for node in nodes:
+                news_ms = self.rng.randint(spell.min_news_ms, spell.max_news_ms)
+                self.loop.at(spell.end_ms + news_ms, self.read_entry, node, name, spell)
+
+    def read_entry(self, node: SimulatedNode, name: str, spell: RestartSpell) -> None:
+        """Let a node know of the new incarnation of an upstream."""
+        now_ms = self.clock.now_ms()
+        spec = replace(self.specs[name], started_at_ms=spell.end_ms)
+        upstreams = node.state.upstreams
+        cold_left_ms = spell.end_ms + spell.cold_ms - now_ms
+        upstream = upstreams.put(spec, draining=False)
+        upstreams.mark_cold(upstream, cold_left_ms, self.model.cold_per_s, now_ms)
+
     def delay_ms(self, here: Location, there: UpstreamSpec) -> int:
         """Return the one-way delay between a node and an upstream."""
         if here.failure_domain == there.failure_domain:
@@ -221,7 +242,11 @@
     def receive(self, attempt: SimulatedAttempt) -> None:
         """Run a request at its upstream, queue it or turn it away."""
         upstream = self.upstreams[attempt.selection.upstream.name]
-        upstream.arrivals_ms.append(self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        if upstream.restart_spell and upstream.restart_spell.is_down(now_ms):
+            self.loop.after(self.way_back_ms(attempt), self.refused, attempt)
+            return
+        upstream.arrivals_ms.append(now_ms)
         if upstream.running < upstream.service.slots:
             self.work(attempt)
         elif len(upstream.waiting) < upstream.queue_limit:
@@ -282,7 +307,8 @@
         node, upstream = attempt.node, attempt.selection.upstream
         times = self.processing_times(node, attempt.call.service)
         upstream.on_report(*load, now_ms)
-        upstream.on_answer(0, now_ms)
+        pool = node.state.pool(upstream.spec.service)
+        upstream.on_answer(pool.cold_start_ms, now_ms)
         upstream.rate_limit.on_answer(limit_per_s, now_ms)
         node.keep_connection(upstream)
         distances = node.state.selector.distances
@@ -294,6 +320,16 @@
         attempt.call.ended_ms = now_ms + CLIENT_MS
         self.start_queued(attempt)
 
+    def refused(self, attempt: SimulatedAttempt) -> None:
+        """Place a request again whose connection was refused."""
+        if attempt.has_ended:
+            return
+        self.end_attempt(attempt)
+        upstream = attempt.selection.upstream
+        upstream.on_unreachable(self.clock.now_ms())
+        self.start_queued(attempt)
+        self.submit(attempt.call)
+
     def turned_away(self, attempt: SimulatedAttempt, waiting: int) -> None:
         """Place a request again that a full upstream refused."""
         if attempt.has_ended:
