Let nodes take turns at an upstream that has ended, and tell each other

Cause: each node that found its port closed tried it again by itself. With 73 nodes all of them did so in the first second; each first request was free, and so was the second, as the time of the next was not set when the upstream counted as cold. Nodes that had sent it nothing meanwhile knew of nothing.

Change: a refused connect shows that the process has ended. From then on its requests are spread over the nodes as while it is cold; nodes tell each other, for this incarnation, that it ended and that it answers again. One that is busy with another request of the node doesn't count as ended.

--- a/bench/placement_peers.py
+++ b/bench/placement_peers.py
@@ -11,6 +11,7 @@
     merge_rate_limit_reports,
     newest_reports,
 )
+from bilberry_balance.placement.restarts import RestartReport
 from bilberry_balance.placement.slow_reports import (
     SlowReport,
     make_slow_reports,
@@ -35,6 +36,7 @@
     slow_upstreams: list[SlowReport]
     rate_limits: list[RateLimitReport]
     send_rates: Counter[str]
+    restarts: list[RestartReport]
 
 
 @dataclass(slots=True, frozen=True)
@@ -60,11 +62,13 @@
         slow = make_slow_reports(node.state.upstreams.by_name.values(), now_ms)
         limits = limits_of(node, now_ms)
         rates = rates_of(node, now_ms)
+        restarts = node.state.restarts.make_reports(now_ms)
         for peer in self.nodes[node.location.failure_domain]:
             if peer is not node:
                 peer.state.peer_loads.update(node.state.node, counts, now_ms)
                 merge_slow_reports(slow, peer.state.upstreams.by_name, now_ms)
                 merge_rates(peer, node.state.node, rates, limits, now_ms)
+                peer.state.restarts.merge(restarts, now_ms)
         self.loop.after(HEARTBEAT_MS, self.send_heartbeat, node)
 
     def send_summaries(self, domain: str, interval_ms: int, in_region: bool) -> None:
@@ -92,7 +96,8 @@
         limits = newest_reports(limits_of(node, now_ms) for node in self.nodes[domain])
         upstreams = self.nodes[domain][0].state.upstreams.by_name.values()
         slow = make_slow_reports(upstreams, now_ms)
-        return Summary(domain, total, slow, limits, rates)
+        restarts = self.nodes[domain][0].state.restarts.make_reports(now_ms)
+        return Summary(domain, total, slow, limits, rates, restarts)
 
     def receive_summary(self, domain: str, summary: Summary, same_region: bool) -> None:
         """Apply another domain's summary at all nodes of a domain."""
@@ -104,6 +109,7 @@
             else:
                 loads.update_mean(summary.domain, summary.in_flight, now_ms)
             upstreams = node.state.upstreams.by_name
+            node.state.restarts.merge(summary.restarts, now_ms)
             merge_slow_reports(summary.slow_upstreams, upstreams, now_ms)
             merge_rates(
                 node, summary.domain, summary.send_rates, summary.rate_limits, now_ms
--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -307,8 +307,7 @@
         node, upstream = attempt.node, attempt.selection.upstream
         times = self.processing_times(node, attempt.call.service)
         upstream.on_report(*load, now_ms)
-        pool = node.state.pool(upstream.spec.service)
-        upstream.on_answer(pool.cold_start_ms, now_ms)
+        node.state.restarts.on_answer(upstream, now_ms)
         upstream.rate_limit.on_answer(limit_per_s, now_ms)
         node.keep_connection(upstream)
         distances = node.state.selector.distances
@@ -326,7 +325,8 @@
             return
         self.end_attempt(attempt)
         upstream = attempt.selection.upstream
-        upstream.on_unreachable(self.clock.now_ms())
+        restarts = attempt.node.state.restarts
+        restarts.on_unreachable(upstream, True, self.clock.now_ms())
         self.start_queued(attempt)
         self.submit(attempt.call)
 
--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -57,6 +57,11 @@
 MAX_WAITING_PER_SLOT = 1
 SHED_WAITING_TTL_MS = 5_000
 
+# Outlasts the time in which summaries reach all nodes.
+RESTART_SHARE_MS = 2_500
+# An answer may arrive this long after its upstream has ended.
+LATE_ANSWER_MS = 200
+
 # Nodes that may have joined unnoticed, as a fraction of the known nodes.
 UNKNOWN_NODES_FRACTION = 0.6
 COLD_PROCESSING_FACTOR = 2.0
--- a/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
@@ -319,8 +319,8 @@
             upstream, requirements.key, wait_state.waited_ms, now_ms
         ):
             return True
-        cold = upstream.is_cold(now_ms)
-        return cold and not self.cold_rate_limiter.is_allowed(upstream, now_ms)
+        takes_turns = upstream.takes_turns(now_ms)
+        return takes_turns and not self.cold_rate_limiter.is_allowed(upstream, now_ms)
 
     def _is_worth_waiting_for(
         self, upstream: Upstream, warmth: Warmth, now_ms: int
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -12,6 +12,7 @@
     MAX_WAITING_PER_SLOT,
     MAX_WARM_KEYS,
     MIN_SLOW_RATIO,
+    RESTART_SHARE_MS,
     SHED_BLOCK_MS,
     SHED_WAITING_TTL_MS,
     SHEDS_TO_BLOCK,
@@ -39,6 +40,30 @@
     started_at_ms: int = 0
 
 
+@dataclass(slots=True)
+class RestartState:
+    """Store whether an upstream's process has ended.
+
+    The newest observation counts, at `observed_at_ms`, whichever node made it.
+    """
+
+    has_ended: bool = False
+    observed_at_ms: int = -RESTART_SHARE_MS
+
+    def observe(self, has_ended: bool, at_ms: int) -> bool:
+        """Apply an observation unless it is older; return if it is news."""
+        if at_ms < self.observed_at_ms:
+            return False
+        is_news = has_ended is not self.has_ended
+        self.has_ended = has_ended
+        self.observed_at_ms = at_ms
+        return is_news
+
+    def is_shared(self, now_ms: int) -> bool:
+        """Return whether to tell peers of the newest observation."""
+        return now_ms - self.observed_at_ms < RESTART_SHARE_MS
+
+
 @dataclass(slots=True)
 class Upstream:
     """Store the state of one upstream as seen by this node.
@@ -76,6 +101,7 @@
     shed_waiting: int = 0
     shed_at_ms: int | None = None
     rate_limit: RateLimit = field(default_factory=RateLimit)
+    restart: RestartState = field(default_factory=RestartState)
 
     @property
     def name(self) -> str:
@@ -93,7 +119,11 @@
         """
         if now_ms < max(self.blocked_until_ms, self.refuses_until_ms):
             return True
-        return self.unreachable and self.in_flight > 0
+        return (self.unreachable or self.restart.has_ended) and self.in_flight > 0
+
+    def takes_turns(self, now_ms: int) -> bool:
+        """Return whether nodes take turns, as it is cold or has ended."""
+        return self.is_cold(now_ms) or self.restart.has_ended
 
     def load(self, peers_load: float, now_ms: int) -> float:
         """Return the known number of its requests from all nodes."""
@@ -122,14 +152,12 @@
         self.reported_peer_load = max(0, running + waiting - self.in_flight)
         self.reported_at_ms = now_ms
 
-    def on_answer(self, cold_start_ms: int, now_ms: int) -> None:
-        """Record a complete answer; after an outage, treat it as cold."""
+    def on_answer(self, now_ms: int) -> None:
+        """Record a complete answer."""
         self.answered_at_ms = now_ms
         self.consecutive_failures = 0
         self.consecutive_sheds = 0
-        if self.unreachable:
-            self.unreachable = False
-            self.cold_until_ms = max(self.cold_until_ms, now_ms + cold_start_ms)
+        self.unreachable = False
 
     def on_shed(self, has_free_slot: bool, waiting: int, now_ms: int) -> None:
         """Record a shed request; shedding with free slots is a failure.
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from bilberry_balance.placement.rate_limit import RateLimitReport
+from bilberry_balance.placement.restarts import RestartReport
 from bilberry_balance.placement.slow_reports import SlowReport
 from bilberry_balance.suspects import SuspectReport
 
@@ -27,7 +28,7 @@
     kinds in `store_era`, in the order of the node's feeds. `slow_upstreams`
     are those that any node lately found slow. `rate_limits` are what answers
     to the node named, and `send_rates` the node's requests a second at limited
-    upstreams.
+    upstreams. `restarts` are the upstreams that lately ended or came back.
     """
 
     node: NodeInfo
@@ -41,6 +42,7 @@
     rate_limits: list[RateLimitReport] = []
     send_rates: dict[str, float] = {}
     store_era: int = 0
+    restarts: list[RestartReport] = []
 
 
 class DomainSummary(msgspec.Struct, array_like=True, tag="domain"):
@@ -68,6 +70,7 @@
     rate_limits: list[RateLimitReport] = []
     send_rates: dict[str, float] = {}
     store_era: int = 0
+    restarts: list[RestartReport] = []
 
 
 class TrialRequest(msgspec.Struct, frozen=True):
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
@@ -146,6 +146,7 @@
             rate_limits=newest_reports(rate_limits),
             send_rates=dict(send_rates),
             store_era=own.store_era,
+            restarts=own.restarts,
         )
 
     def leads_domain(self, now_ms: int) -> bool:
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -59,8 +59,7 @@
         if point is None or point is FailurePoint.SHED_NOT_RUN:
             self._record_wishes(upstream, outcome, now_ms)
         if point is None:
-            pool = self.state.pool(upstream.spec.service)
-            upstream.on_answer(pool.cold_start_ms, now_ms)
+            self.state.restarts.on_answer(upstream, now_ms)
             self._record_processing_time(
                 selection, outcome, processing_times, now_ms - sent_at_ms, now_ms
             )
@@ -77,11 +76,17 @@
     def _record_unreachable(
         self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
     ) -> None:
-        if not upstream.unreachable:
+        was_known = upstream.unreachable
+        has_ended = self.state.restarts.on_unreachable(
+            upstream, outcome.is_refused, now_ms
+        )
+        if not was_known:
             _LOGGER.warning(
-                "entry: Upstream %s is unreachable: %s.", upstream.name, outcome.reason
+                "entry: Upstream %s is unreachable, has ended: %s: %s.",
+                upstream.name,
+                has_ended,
+                outcome.reason,
             )
-        upstream.on_unreachable(now_ms)
         self.state.region_share_limiter.relax_limit(now_ms)
 
     def _record_shed(
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -69,6 +69,7 @@
     `is_first_use` is whether the connection carried no request before, and
     `connect_ms` how long its connect took if this attempt made it.
     `received_bytes` counts all bytes of the answer, heads included.
+    `is_refused` is whether nothing listens at the address.
     """
 
     point: FailurePoint | None
@@ -78,6 +79,7 @@
     is_first_use: bool = False
     connect_ms: int | None = None
     received_bytes: int = 0
+    is_refused: bool = False
 
 
 class ConnectionPool:
@@ -264,7 +266,11 @@
             )
         except OSError as error:
             connection.close()
-            return ExchangeOutcome(FailurePoint.DURING_CONNECT, reason=str(error))
+            return ExchangeOutcome(
+                FailurePoint.DURING_CONNECT,
+                reason=str(error),
+                is_refused=isinstance(error, ConnectionRefusedError),
+            )
         return connection
 
 
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -11,6 +11,7 @@
     make_rate_limit_reports,
     merge_rate_limit_reports,
 )
+from bilberry_balance.placement.restarts import RestartReport
 from bilberry_balance.placement.slow_reports import (
     SlowReport,
     make_slow_reports,
@@ -212,6 +213,7 @@
             make_rate_limit_reports(upstreams, now_ms),
             self.state.rate_limiter.send_rates(upstreams, now_ms),
             self.store_era.value,
+            self.state.restarts.make_reports(now_ms),
         )
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -220,6 +222,7 @@
         now_ms = self.state.clock.now_ms()
         self.state.peer_loads.update(name, heartbeat.in_flight, now_ms)
         self.merge_reports(heartbeat.suspects, heartbeat.slow_upstreams, now_ms)
+        self.merge_restarts(heartbeat.restarts, now_ms)
         self.merge_rates(name, heartbeat.send_rates, heartbeat.rate_limits, now_ms)
         self.merge_revisions(heartbeat.store_era, heartbeat.revisions, now_ms)
         self.update_node_count()
@@ -233,6 +236,7 @@
         else:
             loads.update_mean(summary.failure_domain, summary.in_flight, now_ms)
         self.merge_reports(summary.suspects, summary.slow_upstreams, now_ms)
+        self.merge_restarts(summary.restarts, now_ms)
         self.merge_rates(
             summary.failure_domain, summary.send_rates, summary.rate_limits, now_ms
         )
@@ -251,6 +255,12 @@
         if newly_slow:
             _LOGGER.info("fleet: Peers found slow upstreams: %s.", newly_slow)
 
+    def merge_restarts(self, restarts: list[RestartReport], now_ms: int) -> None:
+        """Apply which upstreams have ended, and which answer again."""
+        ended = self.state.restarts.merge(restarts, now_ms)
+        if ended:
+            _LOGGER.info("fleet: Peers found that upstreams have ended: %s.", ended)
+
     def merge_rates(
         self,
         source: str,
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -283,7 +283,7 @@
         upstream.in_flight += 1
         state.rate_limiter.record_sent(upstream, now_ms)
         state.region_share_limiter.record_sent(upstream.spec.region, now_ms)
-        if upstream.is_cold(now_ms):
+        if upstream.takes_turns(now_ms):
             cold_per_s = state.pool(requirements.service).cold_requests_per_s
             state.cold_rate_limiter.schedule_next(upstream, cold_per_s, now_ms)
         if requirements.key:
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -8,6 +8,7 @@
 from bilberry_balance.placement.peer_loads import PeerLoads
 from bilberry_balance.placement.processing_times import ProcessingTimes
 from bilberry_balance.placement.rate_limiter import RateLimiter
+from bilberry_balance.placement.restarts import RestartTracker
 from bilberry_balance.placement.selector import UpstreamSelector
 from bilberry_balance.retry_window import RetryWindow
 from bilberry_core.clock import Clock
@@ -58,6 +59,7 @@
     peer_loads: PeerLoads = field(init=False)
     selector: UpstreamSelector = field(init=False)
     region_share_limiter: RegionShareLimiter = field(init=False)
+    restarts: RestartTracker = field(init=False)
     route_times: dict[str, ProcessingTimes] = field(default_factory=dict)
     retry_budgets: dict[str, RetryWindow] = field(default_factory=dict)
     counts: EntryCounts = field(default_factory=EntryCounts)
@@ -69,6 +71,7 @@
         self.cold_rate_limiter = ColdRateLimiter(self.node)
         self.rate_limiter = RateLimiter(self.node)
         self.upstreams = UpstreamDirectory(self.cold_rate_limiter)
+        self.restarts = RestartTracker(self.upstreams, self.pool)
         self.peer_loads = PeerLoads()
         self.selector = UpstreamSelector(
             self.location,
--- a/tests/bilberry_balance/placement/test_cold_rate_limiter.py
+++ b/tests/bilberry_balance/placement/test_cold_rate_limiter.py
@@ -3,7 +3,9 @@
 import pytest
 
 from bilberry_balance.placement.cold_rate_limiter import ColdRateLimiter
+from bilberry_balance.placement.restarts import RestartTracker
 from bilberry_balance.placement.upstream import Upstream
+from bilberry_resources.routing import PoolConfig
 
 from .common import SelectorPool, spec
 
@@ -64,13 +66,17 @@
 
 
 def test_an_upstream_is_cold_after_it_was_unreachable():
-    upstream = Upstream(spec("u0"))
-    upstream.on_unreachable(1_000)
+    pool = SelectorPool(spec("u0"), nodes=10)
+    upstream = pool["u0"]
+    config = PoolConfig("suivi", cold_start_ms=COLD_MS, cold_requests_per_s=COLD_PER_S)
+    restarts = RestartTracker(pool.directory, lambda service: config)
+    restarts.on_unreachable(upstream, False, 1_000)
     assert upstream.is_blocked(1_100)
     assert not upstream.is_blocked(1_300)
     upstream.in_flight = 1
     assert upstream.is_blocked(1_300)
     upstream.in_flight = 0
-    upstream.on_answer(COLD_MS, 1_300)
+    restarts.on_answer(upstream, 1_300)
     assert upstream.is_cold(1_300 + COLD_MS - 1)
     assert not upstream.is_cold(1_300 + COLD_MS)
+    assert upstream.next_cold_send_ms > 1_300
--- a/tests/bilberry_balance/placement/test_upstream.py
+++ b/tests/bilberry_balance/placement/test_upstream.py
@@ -23,7 +23,7 @@
     upstream = Upstream(spec("u0"))
     for _ in range(10):
         upstream.on_failure(1_000)
-        upstream.on_answer(3_000, 1_000)
+        upstream.on_answer(1_000)
     assert not upstream.is_blocked(1_000)
     assert not upstream.is_cold(1_000)
 
