--- a/packages/bilberry_balance/src/bilberry_balance/placement/rate_limit.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/rate_limit.py
@@ -19,12 +19,14 @@
 class RateLimitReport(msgspec.Struct, frozen=True, array_like=True):
     """Report the limit that an upstream named, None if it named none.
 
-    `age_ms` is the age of the answer that told when the report is sent.
+    `age_ms` is the age of the answer that told when the report is sent. It is
+    of the incarnation that started at `started_at_ms`.
     """
 
     upstream: str
     per_s: float | None
     age_ms: int
+    started_at_ms: int = 0
 
 
 @dataclass(slots=True)
--- a/packages/bilberry_balance/src/bilberry_balance/placement/rate_limiter.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/rate_limiter.py
@@ -111,6 +111,7 @@
             upstream.name,
             upstream.rate_limit.per_s,
             now_ms - upstream.rate_limit.told_at_ms,
+            upstream.spec.started_at_ms,
         )
         for upstream in upstreams
         if upstream.rate_limit.is_shared(now_ms)
@@ -125,6 +126,7 @@
         upstream
         for report in reports
         if (upstream := upstreams.get(report.upstream)) is not None
+        and upstream.spec.started_at_ms == report.started_at_ms
         and upstream.rate_limit.apply(report.per_s, now_ms - report.age_ms)
     ]
 
@@ -132,13 +134,14 @@
 def newest_reports(
     groups: Iterable[Iterable[RateLimitReport]],
 ) -> list[RateLimitReport]:
-    """Return the newest report of each upstream."""
-    newest: dict[str, RateLimitReport] = {}
+    """Return the newest report of each incarnation of an upstream."""
+    newest: dict[tuple[str, int], RateLimitReport] = {}
     for reports in groups:
         for report in reports:
-            known = newest.get(report.upstream)
+            incarnation = (report.upstream, report.started_at_ms)
+            known = newest.get(incarnation)
             if known is None or report.age_ms < known.age_ms:
-                newest[report.upstream] = report
+                newest[incarnation] = report
     return list(newest.values())
 
 
--- a/packages/bilberry_balance/src/bilberry_balance/placement/slow_reports.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/slow_reports.py
@@ -20,12 +20,14 @@
     """Report how slow an upstream was when last observed.
 
     `slow_ratio` is the mean ratio of its processing times to the expected
-    ones, and `age_ms` the age of the last observation when sent.
+    ones, and `age_ms` the age of the last observation when sent. It is of the
+    incarnation that started at `started_at_ms`, and tells nothing of others.
     """
 
     upstream: str
     slow_ratio: float
     age_ms: int
+    started_at_ms: int = 0
 
 
 def make_slow_reports(upstreams: Collection[Upstream], now_ms: int) -> list[SlowReport]:
@@ -39,6 +41,7 @@
             upstream.name,
             round(upstream.slow_ratio, 1),
             now_ms - upstream.slow_ratio_at_ms,
+            upstream.spec.started_at_ms,
         )
         for upstream in upstreams
         if upstream.is_slowness_shared(now_ms)
@@ -58,7 +61,7 @@
     newly_slow = []
     for report in reports:
         upstream = upstreams.get(report.upstream)
-        if upstream is None:
+        if upstream is None or upstream.spec.started_at_ms != report.started_at_ms:
             continue
         was_slow = upstream.is_slow(now_ms)
         upstream.on_slow_report(report.slow_ratio, now_ms - report.age_ms)
--- a/tests/bilberry_balance/placement/test_rate_limiter.py
+++ b/tests/bilberry_balance/placement/test_rate_limiter.py
@@ -182,3 +182,14 @@
     for name in ("u0", "u1"):
         expected = sum(counts.get(name, 0.0) for counts in latest.values())
         assert rates.total(name) == pytest.approx(expected, abs=1e-6)
+
+
+def test_what_an_earlier_incarnation_named_does_not_limit_the_next_one():
+    before, after = (Upstream(spec("u0", started_at_ms=at_ms)) for at_ms in (1, 2))
+    before.rate_limit.on_answer(3.0, NOW_MS)
+    reports = make_rate_limit_reports([before], NOW_MS + 10)
+    merge_rate_limit_reports(reports, {"u0": after}, NOW_MS + 15)
+    assert after.rate_limit.per_s is None
+    after.rate_limit.on_answer(2.0, NOW_MS - 5)
+    own = make_rate_limit_reports([after], NOW_MS + 10)
+    assert newest_reports([reports, own]) == [*reports, *own]
--- a/tests/bilberry_balance/placement/test_slow_reports.py
+++ b/tests/bilberry_balance/placement/test_slow_reports.py
@@ -122,3 +122,11 @@
     newest = max(pools, key=lambda pool: pool["u0"].slow_ratio_at_ms)
     if newest["u0"].has_been_slow:
         assert max(factors) - min(factors) <= 0.1 or min(factors) < MIN_SLOW_RATIO
+
+
+def test_an_upstream_that_started_again_is_not_slow_by_earlier_reports():
+    one = SelectorPool(spec("u0", started_at_ms=1))
+    other = SelectorPool(spec("u0", started_at_ms=2))
+    one["u0"].on_processing_time(12.0, NOW_MS)
+    tell(one, other, NOW_MS + 300)
+    assert not other["u0"].is_slow(NOW_MS + 300)
