Let a node that is told of a suspect not tell all others once more

Cause: the owner of the trials tells all nodes of a request that became suspect. A node that was told so found it newly suspect as well, and told all nodes in turn: the square of the number of nodes in datagrams, 38,000 for each suspect at 195 nodes. It also used up their allowance of broadcasts.

Change: only a node that is asked, with a call that waits for its reply, tells the others. The test failed before.

--- a/packages/bilberry_router/src/bilberry_router/entry/suspects.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/suspects.py
@@ -130,14 +130,18 @@
         self._tell_owner(report)
 
     def answer_call(self, call: SuspectCall) -> SuspectReply:
-        """Return the reply to another node's call."""
+        """Return the reply to another node's call.
+
+        One that doesn't wait for a reply tells all nodes itself.
+        """
         before = {
             report.fingerprint: self.check(report.fingerprint)
             for report in call.reports
         }
         self.merge(call.reports)
-        for fingerprint, decision in before.items():
-            self._tell_all_of_change(fingerprint, decision)
+        if call.call_id:
+            for fingerprint, decision in before.items():
+                self._tell_all_of_change(fingerprint, decision)
         if call.asks_all:
             reports = self.table.reports(self.clock.now_ms(), MAX_SUSPECT_REPORTS)
             return SuspectReply(call.call_id, reports)
--- a/tests/bilberry_router/entry/test_suspects.py
+++ b/tests/bilberry_router/entry/test_suspects.py
@@ -7,7 +7,12 @@
 from gevent.server import StreamServer
 
 from bilberry_balance.quarantine import Allowed, Quarantined, TrialRequired
-from bilberry_balance.suspects import request_fingerprint
+from bilberry_balance.suspects import (
+    CrashReport,
+    SuspectReport,
+    request_fingerprint,
+)
+from bilberry_fleet.discovery.messages import SuspectCall
 from bilberry_testing.machines.upstream import UpstreamServer
 
 from .common import HOST, NAMES, Client, Rig, eventually
@@ -222,6 +227,9 @@
 class DeafPeers:
     """Peers that never reply, as those of a node that is cut off."""
 
+    def __init__(self):
+        self.told = []
+
     def members(self, own_is_known, now_ms):
         return ("n2",)
 
@@ -232,7 +240,7 @@
         return None
 
     def tell_all(self, reports):
-        return None
+        self.told.append(reports)
 
 
 def test_a_node_that_reaches_no_owner_refuses_suspects_as_not_run():
@@ -245,3 +253,16 @@
         refused = rig.ask("/short/x")
         assert (refused.status, rig.ran) == (503, [])
         assert rig.ask("/short/y").status == 200
+
+
+@pytest.mark.parametrize(("call_id", "tells"), [(0, 0), (7, 1)])
+def test_only_the_node_that_is_asked_tells_all_of_a_suspect(call_id, tells):
+    with Rig() as rig:
+        suspects = rig.forwarder.suspects
+        suspects.peers = DeafPeers()
+        suspects.update_members(own_is_known=True)
+        crashes = tuple(CrashReport(name, 0, origin=name) for name in ("u8", "u9"))
+        report = SuspectReport("f", crashes, 60_000)
+        suspects.answer_call(SuspectCall("n2", call_id, [report]))
+        assert isinstance(suspects.check("f"), TrialRequired)
+        assert len(suspects.peers.told) == tells
