Tell peers of changes that a list brought, not only those of a watch

A node whose history was dropped learned of a change from a list, and didn't tell; one whose watch had gone silent then knew it only when that watch ended, up to 20 s later. A first list is news to its node only.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
@@ -30,10 +30,10 @@
         self.decode = decode
         self.install = install
 
-    def on_snapshot(self, snapshot: Snapshot) -> None:
-        """Install the configuration in the snapshot."""
-        for record in snapshot.records:
-            self._install_record(record)
+    def on_snapshot(self, snapshot: Snapshot) -> bool:
+        """Install the configuration in the snapshot, if it is newer."""
+        installed = [self._install_record(record) for record in snapshot.records]
+        return any(installed)
 
     def on_changes(self, changes: Changes) -> bool:
         """Install the configurations in a batch of changes."""
@@ -48,22 +48,24 @@
     def on_store_restored(self) -> None:
         """Keep the installed configuration, as the store's may be older."""
 
-    def _install_record(self, record: Record) -> None:
+    def _install_record(self, record: Record) -> bool:
         if record.name != self.name:
-            return
+            return False
         decoded = self.decode(record)
         if isinstance(decoded, Failure):
             _LOGGER.error(
                 "discovery: Could not decode the configuration: %s.", decoded.failure()
             )
-            return
+            return False
         config = decoded.unwrap()
-        if self.install(config):
+        is_newer = self.install(config)
+        if is_newer:
             _LOGGER.info(
                 "discovery: Installed configuration version %s with %s routes.",
                 config.version,
                 len(config.routes),
             )
+        return is_newer
 
 
 class NamesListener:
@@ -85,10 +87,10 @@
         self.on_names = on_names
         self.clock = clock
 
-    def on_snapshot(self, snapshot: Snapshot) -> None:
+    def on_snapshot(self, snapshot: Snapshot) -> bool:
         """Replace the names with those in the snapshot."""
         self.listed = frozenset(record.name for record in snapshot.records)
-        self._update()
+        return self._update()
 
     def on_changes(self, changes: Changes) -> bool:
         """Add and remove the names in a batch of changes."""
@@ -118,8 +120,10 @@
             self.kept = frozenset()
             self._update()
 
-    def _update(self) -> None:
+    def _update(self) -> bool:
         names = self.listed | self.kept
-        if names != self.names:
-            self.names = names
-            self.on_names(names)
+        if names == self.names:
+            return False
+        self.names = names
+        self.on_names(names)
+        return True
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -53,8 +53,8 @@
 class FeedListener(Protocol):
     """Receive the snapshots and changes of a feed."""
 
-    def on_snapshot(self, snapshot: Snapshot) -> None:
-        """Replace all known objects."""
+    def on_snapshot(self, snapshot: Snapshot) -> bool:
+        """Replace all known objects; return whether anything changed."""
         ...
 
     def on_changes(self, changes: Changes) -> bool:
@@ -174,7 +174,10 @@
         if snapshot.era != self.era or snapshot.revision < self.last_revision:
             self.begin_era(snapshot)
         self.revision = snapshot.revision
-        self.listener.on_snapshot(snapshot)
+        has_news = self.listener.on_snapshot(snapshot)
+        # What a first list brings is news to this node only.
+        if has_news and self.last_revision:
+            self.event_revision = snapshot.revision
         self.follow()
 
     def begin_era(self, snapshot: Snapshot) -> None:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -122,9 +122,10 @@
         self.departed = DepartedUpstreams()
         self.withheld: dict[str, WithheldRecord] = {}
 
-    def on_snapshot(self, snapshot: Snapshot) -> None:
+    def on_snapshot(self, snapshot: Snapshot) -> bool:
         """Replace the directory's content with the snapshot."""
         self._record_recovery()
+        self.has_news = False
         self.withheld.clear()
         present = set()
         for record in snapshot.records:
@@ -142,6 +143,7 @@
                 snapshot.revision,
             )
         self._report_change()
+        return self.has_news
 
     def on_changes(self, changes: Changes) -> bool:
         """Apply a batch; return False if it only renewed entries."""
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -294,14 +294,16 @@
         """Divide the shared limits by the number of known nodes."""
         self.state.set_known_nodes(len(self.peers.peers) + 1)
 
-    def on_snapshot(self, snapshot: Snapshot) -> None:
+    def on_snapshot(self, snapshot: Snapshot) -> bool:
         """Replace the registered nodes."""
         self.has_listed = True
+        known = dict(self.records)
         self.records.clear()
         for record in snapshot.records:
             self._put(record)
         self._update_peers()
         self.register_again()
+        return self.records != known
 
     def on_changes(self, changes: Changes) -> bool:
         """Apply changes of the registered nodes."""
--- a/tests/bilberry_fleet/discovery/common.py
+++ b/tests/bilberry_fleet/discovery/common.py
@@ -44,6 +44,7 @@
 
     def on_snapshot(self, snapshot):
         self.applied.append([record.revision for record in snapshot.records])
+        return self.has_news
 
     def on_changes(self, changes):
         self.applied.append([change.record.revision for change in changes.changes])
--- a/tests/bilberry_fleet/discovery/test_feed.py
+++ b/tests/bilberry_fleet/discovery/test_feed.py
@@ -199,3 +199,24 @@
         assert listener.state == history.state_at(feed.revision)
     feed.apply(history.read(feed.revision, len(changed)), feed.revision)
     assert listener.state == history.state_at(len(changed))
+
+
+def lose_history(rig):
+    gone = StoreError(kind=StoreErrorKind.GONE, reason="status 410")
+    rig.source.answers[1].set(Failure(gone))
+    settle()
+
+
+def test_peers_are_told_of_a_change_that_a_list_brings():
+    with FeedRig() as rig:
+        lose_history(rig)
+        rig.source.answer(2, Snapshot([Record("u", 14, {})], 20))
+        assert rig.feed.event_revision == 20
+
+
+def test_peers_are_not_told_of_a_list_that_brings_nothing_new():
+    with FeedRig() as rig:
+        rig.listener.has_news = False
+        lose_history(rig)
+        rig.source.answer(2, Snapshot([Record("u", 14, {})], 20))
+        assert rig.feed.event_revision == 0
