Build only the reports that a heartbeat carries, and hash only what is judged

Left from the last read-through: each heartbeat built up to 50 reports of suspects to send eight, and each attempt hashed its request, also while nothing was suspect. What is told stays the same; the worst come first by one function now.

--- a/packages/bilberry_balance/src/bilberry_balance/quarantine.py
+++ b/packages/bilberry_balance/src/bilberry_balance/quarantine.py
@@ -8,6 +8,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from bilberry_core.ids import rendezvous_order, stable_hash
@@ -206,31 +207,35 @@
         started, and recent clearances and crashes.
         """
         self.expire(now_ms)
-        quarantined = [
-            self.suspects[fingerprint].make_report(fingerprint, now_ms)
+        quarantined = {
+            fingerprint: self.suspects[fingerprint]
             for fingerprint in self.repeated
             if self._is_quarantined(fingerprint, self.suspects[fingerprint])
-        ]
-        told = {report.fingerprint for report in quarantined}
-        recent = []
+        }
+        told = self._make_reports(quarantined, now_ms, limit)
+        told += self._clearances(now_ms)
+        recent = {}
         for fingerprint, suspect in reversed(self.suspects.items()):
-            if fingerprint in told:
+            if fingerprint in quarantined:
                 continue
             if now_ms - suspect.last_crash_ms() >= SHARED_REPORT_MAX_AGE_MS:
                 break
-            recent.append(suspect.make_report(fingerprint, now_ms))
-        recent.sort(key=lambda report: -len(report.crashes))
-        return [*quarantined, *self._clearances(now_ms), *recent][:limit]
+            recent[fingerprint] = suspect
+        told += self._make_reports(recent, now_ms, limit)
+        return told[:limit]
 
     def reports(self, now_ms: int, limit: int) -> list[SuspectReport]:
         """Return reports of the worst suspects, for a peer that starts."""
         self.expire(now_ms)
+        return self._make_reports(self.suspects, now_ms, limit)
+
+    def _make_reports(
+        self, suspects: Mapping[str, SuspectRecord], now_ms: int, limit: int
+    ) -> list[SuspectReport]:
+        """Return reports of the worst of some suspects."""
         worst = sorted(
-            self.suspects.items(),
-            key=lambda item: (
-                self._is_quarantined(*item),
-                len(item[1].crashes),
-            ),
+            suspects.items(),
+            key=lambda item: (self._is_quarantined(*item), len(item[1].crashes)),
             reverse=True,
         )
         return [s.make_report(f, now_ms) for f, s in worst[:limit]]
--- a/packages/bilberry_router/src/bilberry_router/entry/crash_evidence.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/crash_evidence.py
@@ -83,24 +83,27 @@
         What a lost answer means is known before the next attempt, unless the
         request's time is over before. No other trial of it begins until then.
         """
-        now_ms = self.state.clock.now_ms()
-        fingerprint = active.fingerprint()
         if active.witness is not None:
             trial = EndedTrial(
-                fingerprint, upstream, outcome.point, active.witness, sent_at_ms, now_ms
+                active.fingerprint(),
+                upstream,
+                outcome.point,
+                active.witness,
+                sent_at_ms,
+                self.state.clock.now_ms(),
             )
             active.witness = None
             self._wait(active, gevent.spawn(self._judge_trial, trial))
         elif outcome.point in LOST_ANSWER_POINTS:
             told = gevent.spawn(
-                self.suspects.on_lost_answer, fingerprint, upstream.name
+                self.suspects.on_lost_answer, active.fingerprint(), upstream.name
             )
             self._wait(active, told)
         elif outcome.point is FailurePoint.DEADLINE_AFTER_SEND:
             if not self._is_alive_or_closed(upstream, sent_at_ms):
-                self._record_overdue(fingerprint, upstream)
+                self._record_overdue(active.fingerprint(), upstream)
         elif outcome.point is None and self.suspects.table.suspects:
-            self.suspects.on_answer(fingerprint)
+            self.suspects.on_answer(active.fingerprint())
 
     def _wait(self, active: ActiveRequest, task: Greenlet) -> None:
         """Wait until a task has ended, or the request's time is over."""
--- a/packages/bilberry_router/src/bilberry_router/entry/suspects.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/suspects.py
@@ -63,9 +63,8 @@
 
         A single lost answer is known to the owner of the trials only.
         """
-        reports = self.table.recent_reports(self.clock.now_ms(), MAX_SUSPECT_REPORTS)
-        told = [r for r in reports if r.cleared or len(r.crashes) > 1]
-        return told[:MAX_HEARTBEAT_REPORTS]
+        reports = self.table.recent_reports(self.clock.now_ms(), MAX_HEARTBEAT_REPORTS)
+        return [r for r in reports if r.cleared or len(r.crashes) > 1]
 
     def merge(self, reports: list[SuspectReport]) -> None:
         """Merge the reports that a peer has sent."""
