Give names, departures and the listener's interface modules of their own

Pure moves from feed.py, config.py and upstreams.py, and shorter functions in the last: an entry of a restored store is judged apart from the others.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -4,7 +4,6 @@
 from collections import Counter
 from collections.abc import Callable
 from enum import Enum, auto
-from typing import Protocol
 
 import gevent
 from gevent import Greenlet
@@ -28,6 +27,7 @@
     STALE_WATCH_WAIT_MS,
     WATCH_WAIT_MS,
 )
+from .feed_listener import FeedListener
 from .listing import read_snapshot
 from .source import Changes, ObjectSource, Snapshot
 from .store_breaker import StoreBreaker
@@ -50,26 +50,6 @@
     OTHER_ERA = auto()
 
 
-class FeedListener(Protocol):
-    """Receive the snapshots and changes of a feed."""
-
-    def on_snapshot(self, snapshot: Snapshot) -> bool:
-        """Replace all known objects; return whether anything changed."""
-        ...
-
-    def on_changes(self, changes: Changes) -> bool:
-        """Apply a batch; return False if it only renewed what is known."""
-        ...
-
-    def on_outage(self) -> None:
-        """Record that the store cannot be read at present."""
-        ...
-
-    def on_store_restored(self) -> None:
-        """Record that the next snapshot is of a store that lost changes."""
-        ...
-
-
 class Feed:
     """List a kind, then watch it; list again when its history is gone.
 
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -2,15 +2,16 @@
 
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bilberry_balance.placement.directory import UpstreamDirectory
-from bilberry_balance.placement.upstream import UpstreamSpec
+from bilberry_balance.placement.upstream import Upstream, UpstreamSpec
 from bilberry_core.clock import Clock
 from bilberry_core.outcome import Failure, Result
 from bilberry_resources.routing import PoolConfig
 
-from .const import DEPARTED_MS, REREGISTRATION_GRACE_MS, SILENT_ENTRY_MS
+from .const import REREGISTRATION_GRACE_MS, SILENT_ENTRY_MS
+from .departures import DepartedUpstreams
 from .source import Changes, Record, Snapshot
 
 _LOGGER = logging.getLogger(__name__)
@@ -36,38 +37,6 @@
     until_ms: int
 
 
-@dataclass(slots=True, frozen=True)
-class Departure:
-    """Store which incarnation of an upstream was removed, and when."""
-
-    started_at_ms: int
-    at_ms: int
-
-
-class DepartedUpstreams:
-    """Remember for a while which incarnations were removed, by name."""
-
-    __slots__ = ("latest",)
-
-    def __init__(self) -> None:
-        self.latest: dict[str, Departure] = {}
-
-    def add(self, spec: UpstreamSpec, now_ms: int) -> None:
-        """Record that an incarnation was removed."""
-        self.latest[spec.name] = Departure(spec.started_at_ms, now_ms)
-
-    def has(self, spec: UpstreamSpec) -> bool:
-        """Return whether an incarnation, or a later one, was removed."""
-        departure = self.latest.get(spec.name)
-        return departure is not None and spec.started_at_ms <= departure.started_at_ms
-
-    def expire(self, now_ms: int) -> None:
-        """Forget the incarnations that were removed long ago."""
-        for name, departure in list(self.latest.items()):
-            if now_ms - departure.at_ms >= DEPARTED_MS:
-                del self.latest[name]
-
-
 UpstreamDecoder = Callable[[Record], Result[UpstreamEntry, str]]
 
 
@@ -127,10 +96,8 @@
         self._record_recovery()
         self.has_news = False
         self.withheld.clear()
-        present = set()
-        for record in snapshot.records:
-            if self._put(record, may_be_outdated=self.is_restored):
-                present.add(record.name)
+        put = self._put_restored if self.is_restored else self._put
+        present = {record.name for record in snapshot.records if put(record)}
         self.is_restored = False
         for name in [n for n in self.directory.by_name if n not in present]:
             self._handle_missing(name)
@@ -189,56 +156,73 @@
             self.outage_seen = False
             self.store_recovered_at_ms = self.clock.now_ms()
 
-    def _put(self, record: Record, may_be_outdated: bool = False) -> bool:
+    def _put(self, record: Record) -> bool:
+        """Apply an entry; return False if it can't be used."""
+        entry = self._decode(record)
+        if entry is None:
+            return False
+        self._apply(entry)
+        return True
+
+    def _put_restored(self, record: Record) -> bool:
+        """Apply an entry of a restored store where it isn't outdated.
+
+        Return False if it can't be used, or not yet.
+        """
+        entry = self._decode(record)
+        if entry is None:
+            return False
+        if self.departed.has(entry.spec):
+            until_ms = self.clock.now_ms() + SILENT_ENTRY_MS
+            self.withheld[record.name] = WithheldRecord(record, until_ms)
+            return False
+        known = self.directory.by_name.get(record.name)
+        if known is None or known.spec.started_at_ms <= entry.spec.started_at_ms:
+            was_draining = known is not None and known.draining
+            is_same = known is not None and known.spec == entry.spec
+            draining = entry.draining or (is_same and was_draining)
+            self._apply(replace(entry, draining=draining))
+        return True
+
+    def _decode(self, record: Record) -> UpstreamEntry | None:
         decoded = self.decode(record)
         if isinstance(decoded, Failure):
             _LOGGER.warning(
                 "discovery: Ignored entry %s: %s.", record.name, decoded.failure()
             )
-            return False
-        entry = decoded.unwrap()
-        now_ms = self.clock.now_ms()
-        if may_be_outdated and self.departed.has(entry.spec):
-            until_ms = now_ms + SILENT_ENTRY_MS
-            self.withheld[record.name] = WithheldRecord(record, until_ms)
-            return False
-        if self.kept_until_ms.pop(record.name, None) is not None:
+            return None
+        return decoded.unwrap()
+
+    def _apply(self, entry: UpstreamEntry) -> None:
+        name = entry.spec.name
+        if self.kept_until_ms.pop(name, None) is not None:
             self.has_news = True
-        previous = self.directory.by_name.get(record.name)
-        started_at_ms = entry.spec.started_at_ms
-        if may_be_outdated and previous and started_at_ms < previous.spec.started_at_ms:
-            return True
+        previous = self.directory.by_name.get(name)
         is_new = previous is None or previous.spec != entry.spec
-        draining = entry.draining
-        if may_be_outdated and previous is not None and not is_new:
-            draining |= previous.draining
-        is_changed = is_new or (previous is not None and previous.draining != draining)
+        was_draining = previous is not None and previous.draining
+        is_changed = is_new or was_draining is not entry.draining
         self.has_news |= is_changed
+        self.pool_changed |= is_new
         # The first snapshot is logged as a whole.
         if is_changed and self.has_snapshot:
-            _LOGGER.info(
-                "discovery: Upstream %s of %s in %s: draining %s, cold for %s ms.",
-                record.name,
-                entry.spec.service,
-                entry.spec.failure_domain,
-                draining,
-                entry.cold_left_ms,
-            )
-        self.pool_changed |= is_new
+            _log_entry(entry)
         former = self.directory.holders.get(entry.spec.address)
-        upstream = self.directory.put(entry.spec, draining)
+        upstream = self.directory.put(entry.spec, entry.draining)
         if former is not None and self.directory.is_replaced(former):
             _LOGGER.info(
                 "discovery: Upstream %s was replaced at its address by %s.",
                 former.name,
                 upstream.name,
             )
-        pool = self.pools.get(entry.spec.service)
+        self._mark_cold(upstream, entry.cold_left_ms)
+
+    def _mark_cold(self, upstream: Upstream, cold_left_ms: int) -> None:
+        pool = self.pools.get(upstream.spec.service)
         cold_per_s = pool.cold_requests_per_s if pool else 0.0
-        if entry.cold_left_ms > 0 and not upstream.is_cold(now_ms):
+        now_ms = self.clock.now_ms()
+        if cold_left_ms > 0 and not upstream.is_cold(now_ms):
             self.has_news = True
-        self.directory.mark_cold(upstream, entry.cold_left_ms, cold_per_s, now_ms)
-        return True
+        self.directory.mark_cold(upstream, cold_left_ms, cold_per_s, now_ms)
 
     def _handle_missing(self, name: str) -> None:
         if name not in self.directory.by_name or name in self.kept_until_ms:
@@ -262,3 +246,14 @@
             self.pool_changed = True
             self.has_news = True
             _LOGGER.info("discovery: Removed upstream %s: %s.", name, reason)
+
+
+def _log_entry(entry: UpstreamEntry) -> None:
+    _LOGGER.info(
+        "discovery: Upstream %s of %s in %s: draining %s, cold for %s ms.",
+        entry.spec.name,
+        entry.spec.service,
+        entry.spec.failure_domain,
+        entry.draining,
+        entry.cold_left_ms,
+    )
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -11,9 +11,11 @@
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.ids import stable_hash
-from bilberry_fleet.discovery.config import ConfigListener, NamesListener
-from bilberry_fleet.discovery.feed import Feed, FeedListener
+from bilberry_fleet.discovery.config import ConfigListener
+from bilberry_fleet.discovery.feed import Feed
+from bilberry_fleet.discovery.feed_listener import FeedListener
 from bilberry_fleet.discovery.messages import NodeInfo
+from bilberry_fleet.discovery.names import NamesListener
 from bilberry_fleet.discovery.store_breaker import StoreBreaker
 from bilberry_fleet.discovery.upstreams import UpstreamListener
 from bilberry_resources.routing import CallerLimits, RoutingConfig
