Drop a read from before the store's return, and distrust its copy for longer

An exact read that was under way while the kind was listed anew was applied though it began at a revision of before: what lay between was skipped. And a second list, shortly after the first one of a restored store, was taken as up to date: an upstream that had drained got requests again. Both tests failed before.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -226,8 +226,8 @@
         return STALE_WATCH_WAIT_MS if is_stale else WATCH_WAIT_MS
 
     def apply(self, changes: Changes, since: int) -> BatchEffect:
-        """Apply changes after `since`, unless newer ones already are."""
-        if since < self.revision:
+        """Apply changes after `since`, unless more is known by now."""
+        if since != self.revision:
             return BatchEffect.NONE
         if changes.era and changes.era != self.era:
             return self.handle_other_era(changes.era)
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -59,12 +59,12 @@
         "directory",
         "has_news",
         "has_snapshot",
-        "is_restored",
         "kept_until_ms",
         "on_change",
         "outage_seen",
         "pool_changed",
         "pools",
+        "restored_at_ms",
         "store_recovered_at_ms",
         "withheld",
     )
@@ -87,7 +87,7 @@
         self.outage_seen = False
         self.store_recovered_at_ms: int | None = None
         self.kept_until_ms: dict[str, int] = {}
-        self.is_restored = False
+        self.restored_at_ms: int | None = None
         self.departed = DepartedUpstreams()
         self.withheld: dict[str, WithheldRecord] = {}
 
@@ -96,9 +96,8 @@
         self._record_recovery()
         self.has_news = False
         self.withheld.clear()
-        put = self._put_restored if self.is_restored else self._put
+        put = self._put_restored if self._may_be_outdated() else self._put
         present = {record.name for record in snapshot.records if put(record)}
-        self.is_restored = False
         for name in [n for n in self.directory.by_name if n not in present]:
             self._handle_missing(name)
         if not self.has_snapshot:
@@ -128,9 +127,9 @@
         self.outage_seen = True
 
     def on_store_restored(self) -> None:
-        """Record that the next snapshot may be older than what is known."""
+        """Record that for a while lists may be older than what is known."""
         self.outage_seen = True
-        self.is_restored = True
+        self.restored_at_ms = self.clock.now_ms()
 
     def expire(self, now_ms: int) -> None:
         """Remove the upstreams that did not register again in time."""
@@ -156,6 +155,11 @@
             self.outage_seen = False
             self.store_recovered_at_ms = self.clock.now_ms()
 
+    def _may_be_outdated(self) -> bool:
+        """Return whether a list may hold entries of a restored store."""
+        at_ms = self.restored_at_ms
+        return at_ms is not None and self.clock.now_ms() - at_ms < SILENT_ENTRY_MS
+
     def _put(self, record: Record) -> bool:
         """Apply an entry; return False if it can't be used."""
         entry = self._decode(record)
--- a/tests/bilberry_fleet/discovery/test_store_era.py
+++ b/tests/bilberry_fleet/discovery/test_store_era.py
@@ -102,6 +102,20 @@
         assert rig.listener.applied[-1] == [3]
 
 
+def test_an_exact_read_from_before_a_return_is_dropped():
+    with EraRig() as rig:
+        rig.tell(14, era=1)
+        rig.check()
+        rig.check(CATCH_UP_AFTER_MS)
+        assert len(rig.exact_reads) == 1
+        rig.source.answer(1, of_era(2, 11))
+        settle()
+        rig.source.answer(3, listed(2, 5))
+        rig.source.answer(2, of_era(2, 12))
+        assert rig.feed.revision == 5
+        assert rig.listener.applied[-1] == [5]
+
+
 def test_an_era_that_the_store_does_not_confirm_is_sought_once():
     with EraRig() as rig:
         rig.tell(3, era=9)
--- a/tests/bilberry_platform/test_restored_store.py
+++ b/tests/bilberry_platform/test_restored_store.py
@@ -85,6 +85,23 @@
         assert not accepts_requests(node, "i-0")
 
 
+def test_an_upstream_that_left_gets_nothing_though_the_copy_is_listed_twice():
+    with RestoredStore(era=1) as deployment:
+        node = deployment.node()
+        deployment.copy()
+        deployment.register(deployment.upstreams[0], state="draining", sequence=2)
+        eventually(lambda: not accepts_requests(node, "i-0"))
+        deployment.lose_writes()
+        deployment.register(deployment.upstreams[1], zone="mtl-b")
+        deployment.come_back()
+        eventually(lambda: domain_of(node, "i-1") == "mtl-b")
+        deployment.store.table.drop_history()
+        deployment.register(deployment.upstreams[1], zone="qc-a")
+        deployment.store.table.drop_history()
+        eventually(lambda: domain_of(node, "i-1") == "qc-a")
+        assert not accepts_requests(node, "i-0")
+
+
 def test_an_upstream_that_was_removed_stays_so_though_the_store_lists_it():
     with RestoredStore(era=1) as deployment:
         node = deployment.node()
