--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -147,6 +147,15 @@
     assert names_of(history) == {"config"}
 
 
+def test_a_configuration_written_in_a_disturbance_counts_once_that_is_over():
+    history = sound_history()
+    add_config_calls(history, 404)
+    history.disturbances = [Disturbance("store-restored", 29_000, 29_900, False)]
+    assert names_of(history) == {"config"}
+    history.disturbances = [Disturbance("store-restored", 29_000, 30_100, False)]
+    assert names_of(history) == set()
+
+
 def test_a_node_that_forgets_a_configuration_is_found():
     history = sound_history()
     add_config_calls(history, 200, 404)
