Say the steps of the restored store's tests once

Three tests repeated how an upstream's draining is lost, or how the copy comes back and is listed; the store counted its era a second time, which restore does, and the era was 1 in all of them. All assertions and waits stay; no code of the node is touched.

--- a/tests/bilberry_platform/test_restored_store.py
+++ b/tests/bilberry_platform/test_restored_store.py
@@ -13,9 +13,9 @@
 class RestoredStore(Deployment):
     """Let the store come back from a copy while nodes can't reach it."""
 
-    def __init__(self, era, upstreams=2):
-        super().__init__(upstreams)
-        self.store.era = era
+    def __init__(self):
+        super().__init__()
+        self.store.era = 1
         self.copied = None
 
     def copy(self):
@@ -28,13 +28,24 @@
     def lose_writes(self):
         """Go down, and lose what was written since the copy."""
         self.store.go_down()
-        era = self.store.era
         self.store.restore(self.copied)
-        self.store.era = era and era + 1
+
+    def lose_draining(self, node):
+        """Let the node see that i-0 drains, and lose that."""
+        self.copy()
+        self.register(self.upstreams[0], state="draining", sequence=2)
+        eventually(lambda: not accepts_requests(node, "i-0"))
+        self.lose_writes()
 
     def come_back(self):
         self.store.come_back()
 
+    def come_back_and_be_listed(self, node):
+        """Come back, and wait until the node has listed the copy."""
+        self.register(self.upstreams[1], zone="mtl-b")
+        self.come_back()
+        eventually(lambda: domain_of(node, "i-1") == "mtl-b")
+
 
 def accepts_requests(node, name):
     upstream = node.state.upstreams.by_name.get(name)
@@ -47,7 +58,7 @@
 
 @pytest.mark.parametrize("renewals", [0, 2 * RENEWALS], ids=["410", "given-out-again"])
 def test_a_version_written_to_a_store_that_went_back_is_in_force(renewals):
-    with RestoredStore(era=1) as deployment:
+    with RestoredStore() as deployment:
         node = deployment.node()
         deployment.copy()
         deployment.renew()
@@ -63,7 +74,7 @@
 
 
 def test_a_node_whose_entry_the_store_lost_writes_it_again():
-    with RestoredStore(era=1) as deployment:
+    with RestoredStore() as deployment:
         deployment.copy()
         deployment.node()
         eventually(lambda: deployment.store.table.get("nodes", "n1"))
@@ -73,28 +84,18 @@
 
 
 def test_an_upstream_that_left_gets_nothing_though_the_store_lost_it():
-    with RestoredStore(era=1) as deployment:
+    with RestoredStore() as deployment:
         node = deployment.node()
-        deployment.copy()
-        deployment.register(deployment.upstreams[0], state="draining", sequence=2)
-        eventually(lambda: not accepts_requests(node, "i-0"))
-        deployment.lose_writes()
-        deployment.register(deployment.upstreams[1], zone="mtl-b")
-        deployment.come_back()
-        eventually(lambda: domain_of(node, "i-1") == "mtl-b")
+        deployment.lose_draining(node)
+        deployment.come_back_and_be_listed(node)
         assert not accepts_requests(node, "i-0")
 
 
 def test_an_upstream_that_left_gets_nothing_though_the_copy_is_listed_twice():
-    with RestoredStore(era=1) as deployment:
+    with RestoredStore() as deployment:
         node = deployment.node()
-        deployment.copy()
-        deployment.register(deployment.upstreams[0], state="draining", sequence=2)
-        eventually(lambda: not accepts_requests(node, "i-0"))
-        deployment.lose_writes()
-        deployment.register(deployment.upstreams[1], zone="mtl-b")
-        deployment.come_back()
-        eventually(lambda: domain_of(node, "i-1") == "mtl-b")
+        deployment.lose_draining(node)
+        deployment.come_back_and_be_listed(node)
         deployment.store.table.drop_history()
         deployment.register(deployment.upstreams[1], zone="qc-a")
         deployment.store.table.drop_history()
@@ -103,22 +104,20 @@
 
 
 def test_an_upstream_that_was_removed_stays_so_though_the_store_lists_it():
-    with RestoredStore(era=1) as deployment:
+    with RestoredStore() as deployment:
         node = deployment.node()
         deployment.copy()
         deployment.remove("servers", "i-0")
         eventually(lambda: not accepts_requests(node, "i-0"))
         deployment.lose_writes()
-        deployment.register(deployment.upstreams[1], zone="mtl-b")
-        deployment.come_back()
-        eventually(lambda: domain_of(node, "i-1") == "mtl-b")
+        deployment.come_back_and_be_listed(node)
         assert not accepts_requests(node, "i-0")
         deployment.register(deployment.upstreams[0], born=2)
         eventually(lambda: accepts_requests(node, "i-0"))
 
 
 def test_an_evacuation_that_the_store_lost_holds_until_it_is_written_again():
-    with RestoredStore(era=1) as deployment:
+    with RestoredStore() as deployment:
         node = deployment.node()
         deployment.copy()
         deployment.write("evacuations", "mtl-a", {})
