Log how much of a read of the store has arrived

The log couldn't tell a store that doesn't answer from an answer that is given up while it arrives, nor what a read of the configuration costs.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -29,6 +29,7 @@
 )
 from .feed_listener import FeedListener
 from .listing import read_snapshot
+from .read_progress import ReadProgress
 from .source import Changes, ObjectSource, Snapshot
 from .store_breaker import StoreBreaker
 from .store_era import StoreEra
@@ -80,6 +81,7 @@
         "may_be_stale",
         "peers_know_more",
         "peers_revision",
+        "progress",
         "revision",
         "sought_era",
         "source",
@@ -112,6 +114,7 @@
         self.catch_up_greenlet: Greenlet | None = None
         self.last_answer_ms: int | None = None
         self.calls: Counter[str] = Counter()
+        self.progress = ReadProgress(clock)
         self.kind = kind
         self.source = source
         self.listener = listener
@@ -145,12 +148,13 @@
         self.revision = 0
         self.sought_era = self.store_era.value
         is_probe = self.wait_for_store()
-        listed = read_snapshot(self.kind, self.source)
+        listed = read_snapshot(self.kind, self.source, self.progress)
         if isinstance(listed, Failure):
             self.handle_list_failure(listed.failure(), is_probe)
             return
         snapshot = listed.unwrap()
         self.record_answer()
+        self.log_large_read(self.progress)
         if snapshot.era != self.era or snapshot.revision < self.last_revision:
             self.begin_era(snapshot)
         self.revision = snapshot.revision
@@ -187,7 +191,9 @@
             revision = self.revision
             is_stale = self.may_be_stale()
             wait_ms = CATCH_UP_WAIT_MS if is_probe else self.watch_wait_ms(is_stale)
-            watched = self.source.watch(self.kind, revision, wait_ms, is_stale)
+            watched = self.source.watch(
+                self.kind, revision, wait_ms, is_stale, self.progress
+            )
             if isinstance(watched, Failure):
                 error = watched.failure()
                 if error.kind is StoreErrorKind.GONE:
@@ -197,6 +203,7 @@
                 continue
             changes = watched.unwrap()
             self.record_answer()
+            self.log_large_read(self.progress)
             effect = self.apply(changes, revision)
             if effect is BatchEffect.OTHER_ERA:
                 return
@@ -299,9 +306,11 @@
             revision,
             self.peers_revision,
         )
-        read = self.source.watch(self.kind, revision, CATCH_UP_WAIT_MS, False)
+        progress = ReadProgress(self.clock)
+        read = self.source.watch(self.kind, revision, CATCH_UP_WAIT_MS, False, progress)
         if not isinstance(read, Failure):
             self.record_answer()
+            self.log_large_read(progress)
             if self.apply(read.unwrap(), revision) is BatchEffect.OTHER_ERA:
                 self.restart()
         elif read.failure().kind is StoreErrorKind.GONE:
@@ -352,6 +361,16 @@
         elif is_probe:
             self.breaker.on_answer()
 
+    def log_large_read(self, progress: ReadProgress) -> None:
+        """Log the size of a large answer, and how long it took to arrive."""
+        if progress.is_large:
+            _LOGGER.info(
+                "discovery: Read %s bytes of %s in %s ms.",
+                progress.byte_count,
+                self.kind,
+                progress.took_ms,
+            )
+
     def record_answer(self) -> None:
         """Record a successful call."""
         self.last_answer_ms = self.clock.now_ms()
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/listing.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/listing.py
@@ -4,21 +4,24 @@
 from bilberry_store.errors import StoreError, StoreErrorKind
 
 from .const import CATCH_UP_WAIT_MS
+from .read_progress import ReadProgress
 from .source import ObjectSource, Snapshot
 
 
-def read_snapshot(kind: str, source: ObjectSource) -> Result[Snapshot, StoreError]:
+def read_snapshot(
+    kind: str, source: ObjectSource, progress: ReadProgress
+) -> Result[Snapshot, StoreError]:
     """Return all objects of a kind, all as of the same revision.
 
     A long list comes in pages, each as of its own time. What changed between
     the first and the last one is read as well, exactly.
     """
-    listed = source.list(kind)
+    listed = source.list(kind, progress)
     if isinstance(listed, Failure):
         return listed
     snapshot = listed.unwrap()
     while not snapshot.is_consistent:
-        read = source.watch(kind, snapshot.revision, CATCH_UP_WAIT_MS, False)
+        read = source.watch(kind, snapshot.revision, CATCH_UP_WAIT_MS, False, progress)
         if isinstance(read, Failure):
             return read
         changes = read.unwrap()
--- /dev/null
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
@@ -0,0 +1,44 @@
+"""Track how much of the answer to a read of the store has arrived."""
+
+from bilberry_core.clock import Clock
+
+# Of an answer that takes a slow link a notable time.
+LARGE_ANSWER_BYTES = 64_000
+
+
+class ReadProgress:
+    """Count the bytes of the answer to the latest call of a read.
+
+    `last_ms` is when the latest of them arrived, None before the first.
+    """
+
+    __slots__ = ("byte_count", "clock", "first_ms", "last_ms")
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.byte_count = 0
+        self.first_ms: int | None = None
+        self.last_ms: int | None = None
+
+    @property
+    def is_large(self) -> bool:
+        """Return whether the answer is large, as far as it has arrived."""
+        return self.byte_count >= LARGE_ANSWER_BYTES
+
+    @property
+    def took_ms(self) -> int:
+        """Return the time from the first bytes to the latest, in ms."""
+        return (self.last_ms or 0) - (self.first_ms or 0)
+
+    def begin(self) -> None:
+        """Forget the answer to the call before."""
+        self.byte_count = 0
+        self.first_ms = None
+        self.last_ms = None
+
+    def add(self, byte_count: int) -> None:
+        """Count bytes that have arrived."""
+        self.byte_count += byte_count
+        self.last_ms = self.clock.now_ms()
+        if self.first_ms is None:
+            self.first_ms = self.last_ms
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/source.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/source.py
@@ -6,6 +6,8 @@
 from bilberry_core.outcome import Result
 from bilberry_store.errors import StoreError
 
+from .read_progress import ReadProgress
+
 
 @dataclass(slots=True, frozen=True)
 class Record:
@@ -76,12 +78,17 @@
 class ObjectSource(Protocol):
     """Read objects of the platform's store."""
 
-    def list(self, kind: str) -> Result[Snapshot, StoreError]:
+    def list(self, kind: str, progress: ReadProgress) -> Result[Snapshot, StoreError]:
         """Return all objects of a kind, which may come in pages."""
         ...
 
     def watch(
-        self, kind: str, revision: int, wait_ms: int, may_be_stale: bool
+        self,
+        kind: str,
+        revision: int,
+        wait_ms: int,
+        may_be_stale: bool,
+        progress: ReadProgress,
     ) -> Result[Changes, StoreError]:
         """Return the changes after `revision`; wait up to `wait_ms`.
 
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -2,6 +2,7 @@
 
 import re
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from bilberry_balance.outcomes import FailurePoint
@@ -43,7 +44,10 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """Represent one attempt to send a request; times in monotonic ms."""
+    """Represent one attempt to send a request; times in monotonic ms.
+
+    `on_received` gets the number of bytes of each part of the answer.
+    """
 
     method: str
     data: bytes
@@ -51,6 +55,7 @@
     deadline_ms: int
     idempotent: bool
     needs_new_connection: bool = False
+    on_received: Callable[[int], None] | None = None
     cancelled: bool = False
     sent: bool = False
     connection: PooledConnection | None = None
@@ -212,6 +217,8 @@
                     break
                 return self._connection_lost(attempt, parser, "closed")
             received.add(len(data))
+            if attempt.on_received is not None:
+                attempt.on_received(len(data))
             parser.feed(data)
             if parser.error or received.is_too_large:
                 reason = parser.error or "the answer is too large"
--- a/tests/bilberry_fleet/discovery/common.py
+++ b/tests/bilberry_fleet/discovery/common.py
@@ -7,10 +7,13 @@
 from bilberry_core.outcome import Success
 from bilberry_fleet.discovery.const import CATCH_UP_WAIT_MS
 from bilberry_fleet.discovery.feed import Feed
+from bilberry_fleet.discovery.read_progress import ReadProgress
 from bilberry_fleet.discovery.source import Change, Changes, Record, Snapshot
 from bilberry_fleet.discovery.store_breaker import StoreBreaker
 from bilberry_fleet.discovery.store_era import StoreEra
 
+UNUSED_PROGRESS = ReadProgress(ManualClock())
+
 
 class ScriptedSource:
     """Let a test answer each call."""
@@ -19,10 +22,10 @@
         self.calls = []
         self.answers = []
 
-    def list(self, kind):
+    def list(self, kind, progress):
         return self.wait(("list",))
 
-    def watch(self, kind, revision, wait_ms, may_be_stale):
+    def watch(self, kind, revision, wait_ms, may_be_stale, progress):
         return self.wait(("watch", revision, wait_ms, may_be_stale))
 
     def wait(self, call):
--- a/tests/bilberry_fleet/discovery/test_listing.py
+++ b/tests/bilberry_fleet/discovery/test_listing.py
@@ -11,7 +11,7 @@
 from bilberry_store.errors import StoreError, StoreErrorKind
 
 from ...bilberry_router.entry.common import eventually
-from .common import FeedRig, History
+from .common import UNUSED_PROGRESS, FeedRig, History
 
 NAMES = "abcdef"
 
@@ -35,7 +35,7 @@
     def next_revision(self):
         return self.revisions.pop(0) if self.revisions else len(self.changes)
 
-    def list(self, kind):
+    def list(self, kind, progress):
         records, revisions, after = [], [], ""
         while True:
             revisions.append(self.next_revision())
@@ -47,7 +47,7 @@
                 return Success(Snapshot(records, min(revisions), max(revisions)))
             after = page[-1]
 
-    def watch(self, kind, revision, wait_ms, may_be_stale):
+    def watch(self, kind, revision, wait_ms, may_be_stale, progress):
         assert (wait_ms, may_be_stale) == (CATCH_UP_WAIT_MS, False)
         self.exact_reads += 1
         as_of = min(self.next_revision(), revision + self.most_events)
@@ -76,7 +76,7 @@
     """Guard against leaving between pages, and replays older than a page."""
     revisions = sorted(min(revision, len(changed)) for revision in revisions)
     source = PagedHistory(changed, revisions, page_items, most_events, keeps_revision)
-    snapshot = read_snapshot("servers", source).unwrap()
+    snapshot = read_snapshot("servers", source, UNUSED_PROGRESS).unwrap()
     state = {record.name: record.revision for record in snapshot.records}
     assert state == source.state_at(snapshot.revision)
     assert snapshot.is_consistent
@@ -92,7 +92,7 @@
 
 def test_a_list_in_one_page_costs_one_call():
     source = PagedHistory([("a", False), ("b", False)], [2], 2, 9, False)
-    snapshot = read_snapshot("servers", source).unwrap()
+    snapshot = read_snapshot("servers", source, UNUSED_PROGRESS).unwrap()
     assert [record.name for record in snapshot.records] == ["a", "b"]
     assert source.exact_reads == 0
 
@@ -103,21 +103,23 @@
     def __init__(self, answer):
         self.answer = answer
 
-    def list(self, kind):
+    def list(self, kind, progress):
         return Success(Snapshot([Record("a", 4, {})], 5, 7))
 
-    def watch(self, kind, revision, wait_ms, may_be_stale):
+    def watch(self, kind, revision, wait_ms, may_be_stale, progress):
         return self.answer
 
 
 def test_a_store_that_knows_of_no_change_between_the_pages_ends_the_list():
-    snapshot = read_snapshot("servers", OneRead(Success(Changes([], 5)))).unwrap()
+    snapshot = read_snapshot(
+        "servers", OneRead(Success(Changes([], 5))), UNUSED_PROGRESS
+    ).unwrap()
     assert (len(snapshot.records), snapshot.revision) == (1, 5)
 
 
 def test_changes_that_lead_nowhere_fail_the_list():
     again = Changes([Change(Record("a", 4, {}), False)], 5)
-    failed = read_snapshot("servers", OneRead(Success(again)))
+    failed = read_snapshot("servers", OneRead(Success(again)), UNUSED_PROGRESS)
     assert failed.failure().kind is StoreErrorKind.REFUSED
 
 
--- a/tests/bilberry_fleet/discovery/test_store_era.py
+++ b/tests/bilberry_fleet/discovery/test_store_era.py
@@ -12,7 +12,7 @@
 from bilberry_fleet.discovery.source import Record, Snapshot
 from bilberry_store.errors import StoreError, StoreErrorKind
 
-from .common import FeedRig, changes
+from .common import UNUSED_PROGRESS, FeedRig, changes
 
 
 def settle():
@@ -142,13 +142,13 @@
 
 def test_a_list_that_the_return_of_the_store_cuts_is_made_again():
     class Source:
-        def list(self, kind):
+        def list(self, kind, progress):
             return Success(Snapshot([], 5, latest_revision=7, era=1))
 
-        def watch(self, kind, revision, wait_ms, may_be_stale):
+        def watch(self, kind, revision, wait_ms, may_be_stale, progress):
             return Success(of_era(2, 6))
 
-    failed = read_snapshot("servers", Source())
+    failed = read_snapshot("servers", Source(), UNUSED_PROGRESS)
     assert failed.failure().kind is StoreErrorKind.GONE
 
 
--- a/tests/bilberry_platform/test_discovery.py
+++ b/tests/bilberry_platform/test_discovery.py
@@ -13,6 +13,7 @@
 from bilberry_testing.machines.objects import config_spec, upstream_entry
 from bilberry_testing.machines.store import StoreServer
 
+from ..bilberry_fleet.discovery.common import UNUSED_PROGRESS
 from ..bilberry_router.entry.common import eventually
 from .common import Deployment, fetch
 
@@ -110,7 +111,7 @@
     with Deployment(upstreams=7) as deployment:
         deployment.store.faults.page_items = 3
         client = StoreClient(deployment.store.listener.address, deployment.clock)
-        snapshot = client.list("servers").unwrap()
+        snapshot = client.list("servers", UNUSED_PROGRESS).unwrap()
         assert len(snapshot.records) == 7
         assert snapshot.revision == deployment.store.table.revision
         client.close()
@@ -127,7 +128,7 @@
         deployment.store.faults.page_items = 1
         client = StoreClient(deployment.store.listener.address, deployment.clock)
         with gevent.Timeout(20, AssertionError("not given up")):
-            failed = client.list("servers")
+            failed = client.list("servers", UNUSED_PROGRESS)
         assert isinstance(failed, Failure)
         assert "over 100000 bytes" in failed.failure().reason
         client.close()
@@ -147,7 +148,7 @@
     with Deployment() as deployment:
         deployment.store.faults.down_status = status
         client = StoreClient(deployment.store.listener.address, deployment.clock)
-        failed = client.list("servers")
+        failed = client.list("servers", UNUSED_PROGRESS)
         assert isinstance(failed, Failure)
         assert failed.failure().kind is kind
         client.close()
