--- a/packages/bilberry_testing/src/bilberry_testing/machines/store.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/store.py
@@ -35,6 +35,7 @@
     `down_status` is the answer to every call, if set. With `silent` each
     answer comes after the caller's timeout, with `lose_writes` only those
     to changes, which take effect. `page_items` limits the size of a page.
+    With `stale_reads` cheap watches miss all changes.
     """
 
     down_status: int = 0
@@ -42,6 +43,7 @@
     lose_writes: bool = False
     delay_ms: int = 0
     page_items: int = PAGE_ITEMS
+    stale_reads: bool = False
 
 
 class StoreServer:
@@ -122,7 +124,10 @@
     ) -> EntryAnswer:
         method = request.head.method
         if method == "GET" and "watch" in query:
-            return self._watch(kind, int(query["watch"]), int(query["wait_ms"]))
+            revision, wait_ms = int(query["watch"]), int(query["wait_ms"])
+            if self.faults.stale_reads and "serializable" in query:
+                return self._miss_changes(revision, wait_ms)
+            return self._watch(kind, revision, wait_ms)
         if method == "GET" and not name:
             return self._list(kind, query.get("after", ""))
         if method == "GET":
@@ -182,6 +187,11 @@
             }
         )
 
+    def _miss_changes(self, revision: int, wait_ms: int) -> EntryAnswer:
+        """Answer a watch as a replica that is behind."""
+        gevent.sleep(wait_ms / MS_PER_SECOND)
+        return _build_json_answer({"events": [], "as_of": revision})
+
 
 def _encode_item(item: StoredItem) -> dict[str, Any]:
     metadata = {
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -23,7 +23,7 @@
 from .history import ColdTime, ConfigVersion, Disturbance, History, Run
 from .messages import RunLine, UpstreamOptions
 from .processes import NodeProcess, UpstreamProcess
-from .proxy import LinkProxy
+from .proxy import LinkMode, LinkProxy
 
 ZONES = {"mtl-a": "mtl", "mtl-b": "mtl", "qc-a": "qc"}
 HOST = "127.0.0.1"
@@ -115,6 +115,7 @@
         self.counts = (nodes, upstreams)
         self.network = network
         self.version = 0
+        self.extra_routes = 0
         self.sequence = 0
         self.beating: Greenlet | None = None
 
@@ -244,6 +245,10 @@
             route_spec("book", "/book/", kind="non_idempotent"),
             route_spec("own", prefix),
         ]
+        routes += [
+            route_spec(f"extra-{index}", f"/v{self.version}-{index}/")
+            for index in range(self.extra_routes)
+        ]
         self.store.table.put(KIND_CONFIG, "main", config_of(self.version, routes))
         self.store.notify()
         now_ms = self.clock.now_ms()
@@ -251,6 +256,11 @@
             self.history.versions[-1].until_ms = now_ms
         self.history.versions.append(ConfigVersion(self.version, prefix, now_ms))
 
+    def slow_store_links(self, delay_ms: int) -> None:
+        """Let the nodes' links to the store pass 16 kB each `delay_ms`."""
+        for node in self.nodes:
+            node.store_link.set_mode(LinkMode.SLOW, delay_ms)
+
     def record_run(self, upstream: str, line: RunLine) -> None:
         """Record a request that an upstream began to work on."""
         run = Run(line.request_id, line.method, line.target, upstream, line.began_ms)
--- a/soak/run.py
+++ b/soak/run.py
@@ -25,12 +25,18 @@
 
 @dataclass(slots=True, frozen=True)
 class Size:
-    """Describe how large and how long a run is."""
+    """Describe how large and how long a run is.
+
+    Links to the store pass 16 kB each `store_delay_ms`, and versions of the
+    configuration after the first have `extra_routes`.
+    """
 
     nodes: int
     upstreams: int
     callers: int
     faults_ms: int
+    store_delay_ms: int = 0
+    extra_routes: int = 0
 
 
 QUICK_SIZE = Size(nodes=3, upstreams=4, callers=6, faults_ms=8_000)
@@ -59,6 +65,8 @@
         self.history = deployment.history
         try:
             deployment.start()
+            deployment.extra_routes = self.size.extra_routes
+            deployment.slow_store_links(self.size.store_delay_ms)
             self.play_faults(deployment)
         finally:
             deployment.close()
--- a/tests/bilberry_platform/common.py
+++ b/tests/bilberry_platform/common.py
@@ -50,9 +50,11 @@
             for index in range(upstreams)
         ]
         self.nodes = []
+        self.store_address = ""
 
     def __enter__(self):
         self.store.start()
+        self.store_address = self.store.listener.address
         self.write("config", "main", config_spec())
         for upstream in self.upstreams:
             upstream.start()
@@ -84,7 +86,7 @@
 
     def node(self, name="n1", zone="mtl-a", ready=True):
         """Start a node on free ports, and wait until ready if `ready`."""
-        client = StoreClient(self.store.listener.address, self.clock)
+        client = StoreClient(self.store_address, self.clock)
         platform = Platform(
             kinds=STORE_KINDS,
             header_names=HEADER_NAMES,
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -33,3 +33,8 @@
     PlannedFault("store-restored", 500, 2_000, 1),
     PlannedFault("configuration", 2_800, 1_000, 2),
 )
+
+# Nodes read each version in full, and were behind by more with each.
+LARGE_VERSIONS_IN_A_ROW = tuple(
+    PlannedFault("configuration", at_ms, 500, at_ms) for at_ms in range(500, 5_000, 330)
+)
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -2,15 +2,24 @@
 
 import gevent
 
-from soak.run import QUICK_SIZE, SoakRun
+from soak.run import QUICK_SIZE, Size, SoakRun
 
 from .regressions import (
+    LARGE_VERSIONS_IN_A_ROW,
     LAST_UPSTREAM_OF_A_REGION,
     RATE_LIMITS_BESIDE_RESTARTS,
     STORE_FROM_A_COPY,
 )
 
 SEED = 1
+SLOW_STORE_SIZE = Size(
+    nodes=3,
+    upstreams=4,
+    callers=6,
+    faults_ms=8_000,
+    store_delay_ms=40,
+    extra_routes=2_800,
+)
 
 
 def broken_in(run):
@@ -39,3 +48,9 @@
     run = SoakRun(5, QUICK_SIZE, tmp_path)
     run.schedule = list(STORE_FROM_A_COPY)
     assert broken_in(run) == []
+
+
+def test_nodes_know_large_configurations_that_arrive_slowly(tmp_path):
+    run = SoakRun(6, SLOW_STORE_SIZE, tmp_path)
+    run.schedule = list(LARGE_VERSIONS_IN_A_ROW)
+    assert broken_in(run) == []
