Read an answer of the store to its end while it goes on arriving

Callers were served by an older configuration: a node that reads it over a slow link gave the answer up while it arrived, and began again. A watch had 0.7 s beyond its wait, an exact read 0.7 s in all and a list 1.5 s, whatever the size.

The limit of a call now is that of the first bytes of its body. After them an answer may pause for 1 s and take 6 s in all; one that stops midway is given up sooner than before, as a watch no longer waits for its whole time.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -9,6 +9,9 @@
 CATCH_UP_AFTER_MS = 600
 CATCH_UP_WAIT_MS = 1
 WATCH_MARGIN_MS = 700
+# An answer that has begun to arrive is waited for as long as it goes on.
+MAX_ARRIVAL_PAUSE_MS = 1_000
+MAX_ARRIVAL_MS = 6_000
 LIST_TIMEOUT_MS = 1_500
 # Of all pages of a list.
 MAX_LIST_BYTES = 32_000_000
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
@@ -2,6 +2,8 @@
 
 from bilberry_core.clock import Clock
 
+from .const import MAX_ARRIVAL_MS, MAX_ARRIVAL_PAUSE_MS
+
 # Of an answer that takes a slow link a notable time.
 LARGE_ANSWER_BYTES = 64_000
 
@@ -36,9 +38,10 @@
         self.first_ms = None
         self.last_ms = None
 
-    def add(self, byte_count: int) -> None:
-        """Count bytes that have arrived."""
+    def add(self, byte_count: int) -> int:
+        """Count bytes that arrived; return until when to wait for more."""
         self.byte_count += byte_count
         self.last_ms = self.clock.now_ms()
         if self.first_ms is None:
             self.first_ms = self.last_ms
+        return min(self.last_ms + MAX_ARRIVAL_PAUSE_MS, self.first_ms + MAX_ARRIVAL_MS)
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -2,8 +2,8 @@
 
 import re
 from collections import deque
-from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from bilberry_balance.outcomes import FailurePoint
 from bilberry_core.clock import Clock
@@ -42,11 +42,19 @@
         return now_ms - self.idle_since_ms >= self.idle_limit_ms
 
 
+class Arrival(Protocol):
+    """Decide how long an answer may take that has begun to arrive."""
+
+    def add(self, byte_count: int) -> int:
+        """Count bytes that have arrived; return the new deadline, in ms."""
+        ...
+
+
 @dataclass(slots=True)
 class Attempt:
     """Represent one attempt to send a request; times in monotonic ms.
 
-    `on_received` gets the number of bytes of each part of the answer.
+    With an `arrival`, the deadline is that of the first bytes of the answer.
     """
 
     method: str
@@ -55,7 +63,7 @@
     deadline_ms: int
     idempotent: bool
     needs_new_connection: bool = False
-    on_received: Callable[[int], None] | None = None
+    arrival: Arrival | None = None
     cancelled: bool = False
     sent: bool = False
     connection: PooledConnection | None = None
@@ -217,9 +225,9 @@
                     break
                 return self._connection_lost(attempt, parser, "closed")
             received.add(len(data))
-            if attempt.on_received is not None:
-                attempt.on_received(len(data))
             parser.feed(data)
+            if attempt.arrival is not None and parser.body_bytes:
+                attempt.deadline_ms = attempt.arrival.add(len(data))
             if parser.error or received.is_too_large:
                 reason = parser.error or "the answer is too large"
                 parser.pop_body()
