Install only the newest of several versions of the configuration

A node that had missed several versions decoded and built the routes of each of them, though all but the last were outdated; it served by the oldest in between. A batch is now read from its newest version, and the first that can be decoded is installed.

test_of_several_versions_only_the_newest_is_installed failed before (decoded 3, 4 and 5).

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
@@ -34,10 +34,10 @@
         return any(installed)
 
     def on_changes(self, changes: Changes) -> bool:
-        """Install the configurations in a batch of changes."""
-        for change in changes.changes:
-            if not change.deleted:
-                self._install_record(change.record)
+        """Install the latest configuration in a batch that can be decoded."""
+        for change in reversed(changes.changes):
+            if not change.deleted and self._install_record(change.record):
+                break
         return True
 
     def on_outage(self) -> None:
