List a kind whose changes are larger than a list of it

Callers were served by an older configuration for seconds after a series of changes: a watch brings each version since the one that a node knows. While it read one of 790 kB over 10 Mbit/s two more were written, so that the next answer took three times as long, and so on.

An answer of changes that is larger than one and a half lists of the kind, and larger than any one object (1.2 MB), is given up as soon as its head announces that, and the kind is listed: that brings the newest version only.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/const.py
@@ -16,6 +16,10 @@
 # Of all pages of a list.
 MAX_LIST_BYTES = 32_000_000
 WRITE_TIMEOUT_MS = 1_500
+# Of the changes since a revision; enough for one object of any size.
+MIN_CHANGES_LIMIT_BYTES = 1_200_000
+# Changes that are larger than a list, by this factor, are listed in place.
+CHANGES_LIMIT_FACTOR = 1.5
 BATCH_PAUSE_MS = 300
 # Further pause after changes that only renew entries, unless peers know more.
 RENEWAL_PAUSE_MS = 200
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -7,7 +7,6 @@
 
 import gevent
 from gevent import Greenlet
-from gevent.event import Event
 
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
@@ -17,9 +16,10 @@
 
 from .const import (
     BATCH_PAUSE_MS,
-    CATCH_UP_AFTER_MS,
     CATCH_UP_WAIT_MS,
+    CHANGES_LIMIT_FACTOR,
     FIRST_WATCH_WAIT_MS,
+    MIN_CHANGES_LIMIT_BYTES,
     RENEWAL_PAUSE_MS,
     RETRY_BASE_MS,
     RETRY_MAX_MS,
@@ -29,6 +29,7 @@
 )
 from .feed_listener import FeedListener
 from .listing import read_snapshot
+from .peer_revisions import PeerRevisions
 from .read_progress import ReadProgress
 from .source import Changes, ObjectSource, Snapshot
 from .store_breaker import StoreBreaker
@@ -42,6 +43,10 @@
 )
 
 
+# Of answers that changes can't be followed from the known revision.
+LIST_AGAIN_KINDS = frozenset({StoreErrorKind.GONE, StoreErrorKind.TOO_LARGE})
+
+
 class BatchEffect(Enum):
     """Enumerate what a batch of changes did."""
 
@@ -62,14 +67,15 @@
     `revision` is 0 until one is complete. While the store fails, the node's
     feeds share one probe of it. When the store has come back from a copy,
     all that is known is listed again, as its revisions are given out again.
+    So it is when the changes are larger than a list.
     """
 
     __slots__ = (
         "backoff",
-        "behind_since_ms",
         "breaker",
         "calls",
         "catch_up_greenlet",
+        "changes_limit_bytes",
         "clock",
         "era",
         "event_revision",
@@ -79,8 +85,7 @@
         "last_revision",
         "listener",
         "may_be_stale",
-        "peers_know_more",
-        "peers_revision",
+        "peers",
         "progress",
         "revision",
         "sought_era",
@@ -108,13 +113,12 @@
         self.breaker = breaker
         self.revision = 0
         self.event_revision = 0
-        self.peers_revision = 0
-        self.peers_know_more = Event()
-        self.behind_since_ms: int | None = None
+        self.peers = PeerRevisions()
         self.catch_up_greenlet: Greenlet | None = None
         self.last_answer_ms: int | None = None
         self.calls: Counter[str] = Counter()
         self.progress = ReadProgress(clock)
+        self.changes_limit_bytes = MIN_CHANGES_LIMIT_BYTES
         self.kind = kind
         self.source = source
         self.listener = listener
@@ -148,6 +152,7 @@
         self.revision = 0
         self.sought_era = self.store_era.value
         is_probe = self.wait_for_store()
+        self.progress.limit_bytes = None
         listed = read_snapshot(self.kind, self.source, self.progress)
         if isinstance(listed, Failure):
             self.handle_list_failure(listed.failure(), is_probe)
@@ -157,6 +162,9 @@
         self.log_large_read(self.progress)
         if snapshot.era != self.era or snapshot.revision < self.last_revision:
             self.begin_era(snapshot)
+        self.changes_limit_bytes = max(
+            MIN_CHANGES_LIMIT_BYTES, int(snapshot.byte_count * CHANGES_LIMIT_FACTOR)
+        )
         self.revision = snapshot.revision
         has_news = self.listener.on_snapshot(snapshot)
         # What a first list brings is news to this node only.
@@ -181,8 +189,7 @@
         self.store_era.raise_to(snapshot.era)
         self.last_revision = 0
         self.event_revision = 0
-        self.peers_revision = 0
-        self.behind_since_ms = None
+        self.peers.forget()
 
     def follow(self) -> None:
         """Watch until the store drops the history."""
@@ -191,13 +198,14 @@
             revision = self.revision
             is_stale = self.may_be_stale()
             wait_ms = CATCH_UP_WAIT_MS if is_probe else self.watch_wait_ms(is_stale)
+            self.progress.limit_bytes = self.changes_limit_bytes
             watched = self.source.watch(
                 self.kind, revision, wait_ms, is_stale, self.progress
             )
             if isinstance(watched, Failure):
                 error = watched.failure()
-                if error.kind is StoreErrorKind.GONE:
-                    self.handle_gone()
+                if error.kind in LIST_AGAIN_KINDS:
+                    self.handle_list_again(error)
                     return
                 self.handle_failure(error, is_probe)
                 continue
@@ -216,7 +224,7 @@
         gevent.sleep(BATCH_PAUSE_MS / MS_PER_SECOND)
         if effect is BatchEffect.RENEWED:
             pause_ms = STALE_RENEWAL_PAUSE_MS if is_stale else RENEWAL_PAUSE_MS
-            self.peers_know_more.wait(pause_ms / MS_PER_SECOND)
+            self.peers.know_more.wait(pause_ms / MS_PER_SECOND)
 
     def wait_for_store(self) -> bool:
         """Wait until a call may be made; return whether it is a probe."""
@@ -239,8 +247,7 @@
         if changes.era and changes.era != self.era:
             return self.handle_other_era(changes.era)
         self.revision = max(self.revision, changes.revision)
-        if self.peers_revision <= self.revision:
-            self.peers_know_more.clear()
+        self.peers.record_known(self.revision)
         if not changes.changes:
             return BatchEffect.NONE
         if not self.listener.on_changes(changes):
@@ -260,23 +267,15 @@
 
     def on_peers_revision(self, era: int, revision: int, now_ms: int) -> None:
         """Record the revision of the latest change that a peer knows."""
-        if era != self.era:
-            return
-        self.peers_revision = max(self.peers_revision, revision)
-        if self.peers_revision <= self.revision:
-            self.behind_since_ms = None
-        elif self.behind_since_ms is None:
-            self.behind_since_ms = now_ms
-            self.peers_know_more.set()
+        if era == self.era:
+            self.peers.record(revision, self.revision, now_ms)
 
     def catch_up_if_behind(self, now_ms: int) -> None:
         """Start an exact read if this feed stayed behind its peers."""
         self.list_new_era()
-        if self.behind_since_ms is None or self.revision == 0:
+        if self.revision == 0:
             return
-        if self.peers_revision <= self.revision:
-            self.behind_since_ms = None
-        elif now_ms - self.behind_since_ms >= CATCH_UP_AFTER_MS:
+        if self.peers.is_catch_up_due(self.revision, now_ms):
             self.start_catch_up(now_ms)
 
     def list_new_era(self) -> None:
@@ -293,7 +292,7 @@
         )
         if is_reading or self.breaker.delay_ms(now_ms):
             return
-        self.behind_since_ms = now_ms
+        self.peers.record_catch_up(now_ms)
         is_probe = self.breaker.begin_call()
         self.catch_up_greenlet = gevent.spawn(self.catch_up, is_probe)
 
@@ -304,17 +303,18 @@
             "discovery: Behind on %s at revision %s, peers have %s.",
             self.kind,
             revision,
-            self.peers_revision,
+            self.peers.latest,
         )
         progress = ReadProgress(self.clock)
+        progress.limit_bytes = self.changes_limit_bytes
         read = self.source.watch(self.kind, revision, CATCH_UP_WAIT_MS, False, progress)
         if not isinstance(read, Failure):
             self.record_answer()
             self.log_large_read(progress)
             if self.apply(read.unwrap(), revision) is BatchEffect.OTHER_ERA:
                 self.restart()
-        elif read.failure().kind is StoreErrorKind.GONE:
-            self.handle_gone()
+        elif read.failure().kind in LIST_AGAIN_KINDS:
+            self.handle_list_again(read.failure())
             self.restart()
         else:
             self.record_failure(read.failure(), is_probe)
@@ -325,18 +325,25 @@
             self.greenlet.kill()
             self.start()
 
-    def handle_gone(self) -> None:
-        """Record that the store answered, but has dropped the history."""
-        self.calls[StoreErrorKind.GONE] += 1
+    def handle_list_again(self, error: StoreError) -> None:
+        """Record that the store answered, but not with changes to apply."""
+        self.calls[error.kind] += 1
         self.breaker.on_answer()
-        _LOGGER.info("discovery: The store dropped the history of %s.", self.kind)
+        if error.kind is StoreErrorKind.GONE:
+            _LOGGER.info("discovery: The store dropped the history of %s.", self.kind)
+        else:
+            _LOGGER.info(
+                "discovery: Changes of %s are over %s bytes, it is listed.",
+                self.kind,
+                self.changes_limit_bytes,
+            )
 
     def handle_list_failure(self, error: StoreError, is_probe: bool) -> None:
         """Record that the kind could not be listed, and wait."""
         if error.kind is not StoreErrorKind.GONE:
             self.handle_failure(error, is_probe)
             return
-        self.handle_gone()
+        self.handle_list_again(error)
         gevent.sleep(self.backoff.next_delay_ms() / MS_PER_SECOND)
 
     def handle_failure(self, error: StoreError, is_probe: bool) -> None:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
@@ -11,13 +11,24 @@
 class ReadProgress:
     """Count the bytes of the answer to the latest call of a read.
 
-    `last_ms` is when the latest of them arrived, None before the first.
+    `last_ms` is when the latest of them arrived, None before the first. An
+    answer of more than `limit_bytes` is given up, one that announces it at
+    once; with None any is read.
     """
 
-    __slots__ = ("byte_count", "clock", "first_ms", "last_ms")
+    __slots__ = (
+        "announced_bytes",
+        "byte_count",
+        "clock",
+        "first_ms",
+        "last_ms",
+        "limit_bytes",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
+        self.limit_bytes: int | None = None
+        self.announced_bytes = 0
         self.byte_count = 0
         self.first_ms: int | None = None
         self.last_ms: int | None = None
@@ -27,6 +38,13 @@
         """Return whether the answer is large, as far as it has arrived."""
         return self.byte_count >= LARGE_ANSWER_BYTES
 
+    @property
+    def is_too_large(self) -> bool:
+        """Return whether the answer is over the limit."""
+        if self.limit_bytes is None:
+            return False
+        return max(self.byte_count, self.announced_bytes) > self.limit_bytes
+
     @property
     def took_ms(self) -> int:
         """Return the time from the first bytes to the latest, in ms."""
@@ -34,13 +52,15 @@
 
     def begin(self) -> None:
         """Forget the answer to the call before."""
+        self.announced_bytes = 0
         self.byte_count = 0
         self.first_ms = None
         self.last_ms = None
 
-    def add(self, byte_count: int) -> int:
+    def add(self, byte_count: int, announced_bytes: int = 0) -> int:
         """Count bytes that arrived; return until when to wait for more."""
         self.byte_count += byte_count
+        self.announced_bytes = announced_bytes
         self.last_ms = self.clock.now_ms()
         if self.first_ms is None:
             self.first_ms = self.last_ms
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/source.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/source.py
@@ -1,6 +1,6 @@
 """Interface to the platform's store, independent of its format."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Protocol
 
 from bilberry_core.outcome import Result
@@ -40,13 +40,15 @@
     """Represent all objects of a kind, with all changes up to `revision`.
 
     Of a list in pages, some may be as of later revisions, up to
-    `latest_revision`. The `era` is 0 if the store names none.
+    `latest_revision`. The `era` is 0 if the store names none, and `byte_count`
+    the size of all pages.
     """
 
     records: list[Record]
     revision: int
     latest_revision: int = 0
     era: int = 0
+    byte_count: int = 0
 
     @property
     def is_consistent(self) -> bool:
@@ -70,9 +72,8 @@
                 by_name.pop(record.name, None)
             else:
                 by_name[record.name] = record
-        return Snapshot(
-            list(by_name.values()), changes.revision, self.latest_revision, self.era
-        )
+        records = list(by_name.values())
+        return replace(self, records=records, revision=changes.revision)
 
 
 class ObjectSource(Protocol):
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -43,10 +43,18 @@
 
 
 class Arrival(Protocol):
-    """Decide how long an answer may take that has begun to arrive."""
+    """Bound an answer that has begun to arrive."""
 
-    def add(self, byte_count: int) -> int:
-        """Count bytes that have arrived; return the new deadline, in ms."""
+    @property
+    def is_too_large(self) -> bool:
+        """Return whether the rest of the answer isn't wanted."""
+        ...
+
+    def add(self, byte_count: int, announced_bytes: int) -> int:
+        """Count bytes that have arrived; return the new deadline, in ms.
+
+        The answer has announced a body of `announced_bytes`, 0 if it has none.
+        """
         ...
 
 
@@ -68,6 +76,11 @@
     sent: bool = False
     connection: PooledConnection | None = None
 
+    @property
+    def is_too_large(self) -> bool:
+        """Return whether the rest of the answer isn't wanted."""
+        return self.arrival is not None and self.arrival.is_too_large
+
     def cancel(self) -> None:
         """Cancel the attempt; safe in the hub."""
         self.cancelled = True
@@ -227,8 +240,10 @@
             received.add(len(data))
             parser.feed(data)
             if attempt.arrival is not None and parser.body_bytes:
-                attempt.deadline_ms = attempt.arrival.add(len(data))
-            if parser.error or received.is_too_large:
+                attempt.deadline_ms = attempt.arrival.add(
+                    len(data), parser.announced_bytes
+                )
+            if parser.error or received.is_too_large or attempt.is_too_large:
                 reason = parser.error or "the answer is too large"
                 parser.pop_body()
                 return ExchangeOutcome(
--- a/packages/bilberry_router/src/bilberry_router/http/response_parser.py
+++ b/packages/bilberry_router/src/bilberry_router/http/response_parser.py
@@ -1,5 +1,7 @@
 """Parse an upstream's response and detect its end."""
 
+import re
+
 import httptools
 
 from .const import (
@@ -16,6 +18,7 @@
 )
 from .head import connection_options
 
+_LENGTH = re.compile(r"[0-9]{1,18}")
 STATUS_SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 
@@ -76,6 +79,12 @@
             return False
         return self.allows_keep_alive and self.has_known_length
 
+    @property
+    def announced_bytes(self) -> int:
+        """Return the length of the body that the head tells, or 0."""
+        text = self.first(HEADER_CONTENT_LENGTH) if self.is_head_complete else None
+        return int(text) if text and _LENGTH.fullmatch(text) else 0
+
     def feed(self, data: bytes) -> None:
         """Parse the next bytes of the connection."""
         if self.is_complete:
--- a/tests/bilberry_platform/test_slow_store_links.py
+++ b/tests/bilberry_platform/test_slow_store_links.py
@@ -2,6 +2,9 @@
 
 import pytest
 
+from bilberry_fleet.discovery.read_progress import ReadProgress
+from bilberry_platform.store import StoreClient
+from bilberry_store.errors import StoreErrorKind
 from bilberry_testing.machines.objects import config_of, route_spec
 from soak.proxy import LinkMode, LinkProxy
 
@@ -58,3 +61,31 @@
         deployment.slow_down()
         deployment.write("config", "main", large_config(3))
         eventually(lambda: all(has_version(node, 3) for node in nodes))
+
+
+def lists_of_config(deployment):
+    return deployment.store.calls.count("GET /objects/config")
+
+
+def test_a_node_reads_only_the_newest_of_many_large_versions():
+    with SlowLinks() as deployment:
+        node = deployment.node()
+        deployment.link.set_mode(LinkMode.REFUSING)
+        lists = lists_of_config(deployment)
+        for version in range(3, 12):
+            deployment.write("config", "main", large_config(version))
+        deployment.link.set_mode(LinkMode.OPEN)
+        eventually(lambda: has_version(node, 11))
+        assert lists_of_config(deployment) == lists + 1
+
+
+def test_an_answer_that_announces_too_much_is_given_up():
+    with Deployment() as deployment:
+        client = StoreClient(deployment.store_address, deployment.clock)
+        progress = ReadProgress(deployment.clock)
+        progress.limit_bytes = 100
+        revision = deployment.store.table.revision
+        deployment.write("config", "main", large_config(3))
+        failed = client.watch("config", revision, 1, False, progress)
+        assert failed.failure().kind is StoreErrorKind.TOO_LARGE
+        client.close()
