Begin no second read while a large answer arrives

A node that peers know to be behind makes an exact read after 600 ms. It waits now while the answer goes on arriving.

test_no_second_read_is_begun_while_a_large_answer_arrives failed before.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -271,9 +271,12 @@
             self.peers.record(revision, self.revision, now_ms)
 
     def catch_up_if_behind(self, now_ms: int) -> None:
-        """Start an exact read if this feed stayed behind its peers."""
+        """Start an exact read if this feed stayed behind its peers.
+
+        While a large answer arrives, another one would slow it down.
+        """
         self.list_new_era()
-        if self.revision == 0:
+        if self.revision == 0 or self.progress.is_arriving(now_ms):
             return
         if self.peers.is_catch_up_due(self.revision, now_ms):
             self.start_catch_up(now_ms)
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
@@ -6,6 +6,8 @@
 
 # Of an answer that takes a slow link a notable time.
 LARGE_ANSWER_BYTES = 64_000
+# Longer than the parts of an answer are apart on a slow link.
+ARRIVING_MS = 300
 
 
 class ReadProgress:
@@ -50,6 +52,12 @@
         """Return the time from the first bytes to the latest, in ms."""
         return (self.last_ms or 0) - (self.first_ms or 0)
 
+    def is_arriving(self, now_ms: int) -> bool:
+        """Return whether a large answer was arriving a moment ago."""
+        if self.last_ms is None or not self.is_large:
+            return False
+        return now_ms - self.last_ms < ARRIVING_MS
+
     def begin(self) -> None:
         """Forget the answer to the call before."""
         self.announced_bytes = 0
--- a/tests/bilberry_fleet/discovery/test_large_answers.py
+++ b/tests/bilberry_fleet/discovery/test_large_answers.py
@@ -4,6 +4,7 @@
 
 from bilberry_core.outcome import Failure
 from bilberry_fleet.discovery.const import CATCH_UP_AFTER_MS, MIN_CHANGES_LIMIT_BYTES
+from bilberry_fleet.discovery.read_progress import ARRIVING_MS, LARGE_ANSWER_BYTES
 from bilberry_fleet.discovery.source import Record, Snapshot
 from bilberry_store.errors import StoreError, StoreErrorKind
 
@@ -43,3 +44,25 @@
         assert rig.feed.progress.limit_bytes is None
         rig.source.answer(2, Snapshot([], 20, byte_count=listed_bytes))
         assert rig.feed.progress.limit_bytes == limit_bytes
+
+
+def test_no_second_read_is_begun_while_a_large_answer_arrives():
+    with FeedRig() as rig:
+        rig.tell(14)
+        rig.check()
+        rig.check(CATCH_UP_AFTER_MS - 1)
+        rig.feed.progress.add(LARGE_ANSWER_BYTES)
+        rig.check(1)
+        assert rig.exact_reads == []
+        rig.check(ARRIVING_MS)
+        assert len(rig.exact_reads) == 1
+
+
+def test_a_small_answer_holds_up_no_exact_read():
+    with FeedRig() as rig:
+        rig.tell(14)
+        rig.check()
+        rig.check(CATCH_UP_AFTER_MS - 1)
+        rig.feed.progress.add(LARGE_ANSWER_BYTES - 1)
+        rig.check(1)
+        assert len(rig.exact_reads) == 1
