Begin the wait for lapsed upstreams with the store's first answer

The breaker that a node's reads share tells when the store answers again. test_the_first_answer_of_any_kind_ends_an_outage_once and test_an_entry_that_an_outage_hid_is_kept_from_the_first_answer_on fail on the code before, which knows no such moment.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/store_breaker.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/store_breaker.py
@@ -1,5 +1,7 @@
 """Let one call of a node at a time probe a store that fails."""
 
+from collections.abc import Callable
+
 from bilberry_store.backoff import Backoff
 
 from .const import OUTAGE_FAILURES, RETRY_BASE_MS, RETRY_MAX_MS
@@ -9,12 +11,15 @@
     """Hold back a node's calls to the store while it fails.
 
     A failed call opens it. Then one call at a time is a probe, with a growing
-    delay between them; the first answer closes it.
+    delay between them; the first answer closes it, and calls `on_recovery`.
     """
 
-    __slots__ = ("backoff", "is_open", "is_probing", "retry_at_ms")
+    __slots__ = ("backoff", "is_open", "is_probing", "on_recovery", "retry_at_ms")
 
-    def __init__(self, seed: int) -> None:
+    def __init__(
+        self, seed: int, on_recovery: Callable[[], None] = lambda: None
+    ) -> None:
+        self.on_recovery = on_recovery
         self.backoff = Backoff(seed, RETRY_BASE_MS, RETRY_MAX_MS)
         self.is_open = False
         self.is_probing = False
@@ -41,9 +46,12 @@
     def on_answer(self) -> int:
         """Close it; return how many calls had failed."""
         failures = self.backoff.failures
+        was_open = self.is_open
         self.backoff.reset()
         self.is_open = False
         self.is_probing = False
+        if was_open:
+            self.on_recovery()
         return failures
 
     def on_failure(self, is_probe: bool, now_ms: int) -> None:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -93,7 +93,7 @@
 
     def on_snapshot(self, snapshot: Snapshot) -> bool:
         """Replace the directory's content with the snapshot."""
-        self._record_recovery()
+        self.record_recovery()
         self.has_news = False
         self.withheld.clear()
         put = self._put_restored if self._may_be_outdated() else self._put
@@ -113,7 +113,7 @@
 
     def on_changes(self, changes: Changes) -> bool:
         """Apply a batch; return False if it only renewed entries."""
-        self._record_recovery()
+        self.record_recovery()
         self.has_news = False
         for change in changes.changes:
             self.withheld.pop(change.record.name, None)
@@ -126,6 +126,12 @@
         """Record that the store cannot be read at present."""
         self.outage_seen = True
 
+    def record_recovery(self) -> None:
+        """Record that the store answers again, if it was away."""
+        if self.outage_seen:
+            self.outage_seen = False
+            self.store_recovered_at_ms = self.clock.now_ms()
+
     def on_store_restored(self) -> None:
         """Record that for a while lists may be older than what is known."""
         self.outage_seen = True
@@ -150,11 +156,6 @@
             self.pool_changed = False
             self.on_change()
 
-    def _record_recovery(self) -> None:
-        if self.outage_seen:
-            self.outage_seen = False
-            self.store_recovered_at_ms = self.clock.now_ms()
-
     def _may_be_outdated(self) -> bool:
         """Return whether a list may hold entries of a restored store."""
         at_ms = self.restored_at_ms
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -228,7 +228,7 @@
                 )
 
     def _feeds(self, seed: int) -> list[Feed]:
-        breaker = StoreBreaker(seed)
+        breaker = StoreBreaker(seed, self.upstream_listener.record_recovery)
         kinds = self.platform.kinds
         config = ConfigListener(
             kinds.config_name, self.platform.decode_config, self.install
--- a/tests/bilberry_fleet/discovery/test_store_breaker.py
+++ b/tests/bilberry_fleet/discovery/test_store_breaker.py
@@ -16,6 +16,7 @@
 
 KINDS = ("config", "servers", "evacuations", "nodes")
 UNREACHABLE = StoreError(kind=StoreErrorKind.UNREACHABLE, reason="refused")
+GONE = StoreError(kind=StoreErrorKind.GONE, reason="status 410")
 UNREADABLE = StoreError(kind=StoreErrorKind.REFUSED, reason="unreadable answer")
 
 
@@ -87,6 +88,22 @@
         assert all(call[2] > CATCH_UP_WAIT_MS for call in rig.source.calls[9:])
 
 
+def test_the_first_answer_of_any_kind_ends_an_outage_once():
+    with NodeRig() as rig:
+        recoveries = []
+        rig.breaker.on_recovery = lambda: recoveries.append(rig.clock.now_ms())
+        for index in range(len(KINDS)):
+            rig.fail(index)
+        rig.pass_time(RETRY_MAX_MS)
+        rig.fail(4, GONE)
+        ended_ms = rig.clock.now_ms()
+        assert recoveries == [ended_ms]
+        rig.pass_time(RETRY_MAX_MS)
+        for index in range(5, len(rig.source.calls)):
+            rig.source.answer(index, Snapshot([], 10))
+        assert recoveries == [ended_ms]
+
+
 def test_an_unreadable_kind_does_not_hold_back_the_others():
     with NodeRig() as rig:
         rig.fail(0, UNREADABLE)
--- a/tests/bilberry_fleet/discovery/test_upstreams.py
+++ b/tests/bilberry_fleet/discovery/test_upstreams.py
@@ -7,6 +7,7 @@
 from bilberry_balance.placement.upstream import UpstreamSpec
 from bilberry_core.clock import ManualClock
 from bilberry_core.outcome import Failure, Success
+from bilberry_fleet.discovery.const import REREGISTRATION_GRACE_MS
 from bilberry_fleet.discovery.source import Change, Changes, Record, Snapshot
 from bilberry_fleet.discovery.upstreams import UpstreamEntry, UpstreamListener
 
@@ -59,6 +60,19 @@
     assert not apply(listener, None, deleted=True)
 
 
+def test_an_entry_that_an_outage_hid_is_kept_from_the_first_answer_on(listener):
+    """Guard against a wait that begins with a later read of this kind."""
+    listener.on_outage()
+    listener.record_recovery()
+    until_ms = listener.clock.now_ms() + REREGISTRATION_GRACE_MS
+    listener.clock.advance(REREGISTRATION_GRACE_MS - 1)
+    listener.on_snapshot(Snapshot([], 3))
+    listener.expire(until_ms - 1)
+    assert "u0" in listener.directory.by_name
+    listener.expire(until_ms)
+    assert "u0" not in listener.directory.by_name
+
+
 def test_an_entry_that_lapses_and_returns_after_an_outage_is_news(listener):
     listener.on_outage()
     assert apply(listener, None, deleted=True)
--- a/tests/bilberry_platform/test_discovery.py
+++ b/tests/bilberry_platform/test_discovery.py
@@ -271,3 +271,13 @@
         deployment.store.table.drop_history()
         deployment.store.notify()
         eventually(lambda: upstream_names(node) == ["i-1", "i-2"])
+
+
+def test_any_answer_of_the_store_begins_the_wait_for_lapsed_upstreams():
+    with Deployment() as deployment:
+        node = deployment.node()
+        breaker = node.feeds[0].breaker
+        node.upstream_listener.on_outage()
+        breaker.on_failure(False, deployment.clock.now_ms())
+        breaker.on_answer()
+        assert node.upstream_listener.store_recovered_at_ms is not None
