Let no unexpected error hold back a node's reads of the store for good

While the store fails, one read of the node at a time probes it. A probe that ended by an unexpected error was never given back, so that the node read nothing more until its end.

The error now counts as a failed probe. test_a_probe_that_ends_by_an_error_ holds_up_no_kind failed before.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -143,7 +143,7 @@
             try:
                 self.list_and_follow()
             except Exception:
-                _LOGGER.exception("discovery: Error while reading %s.", self.kind)
+                self.handle_error()
                 gevent.sleep(RETRY_MAX_MS / MS_PER_SECOND)
 
     def list_and_follow(self) -> None:
@@ -159,7 +159,7 @@
             return
         snapshot = listed.unwrap()
         self.record_answer()
-        self.log_large_read(self.progress)
+        self.progress.log_if_large(self.kind)
         if snapshot.era != self.era or snapshot.revision < self.last_revision:
             self.begin_era(snapshot)
         self.changes_limit_bytes = max(
@@ -211,7 +211,7 @@
                 continue
             changes = watched.unwrap()
             self.record_answer()
-            self.log_large_read(self.progress)
+            self.progress.log_if_large(self.kind)
             effect = self.apply(changes, revision)
             if effect is BatchEffect.OTHER_ERA:
                 return
@@ -297,7 +297,14 @@
             return
         self.peers.record_catch_up(now_ms)
         is_probe = self.breaker.begin_call()
-        self.catch_up_greenlet = gevent.spawn(self.catch_up, is_probe)
+        self.catch_up_greenlet = gevent.spawn(self.run_catch_up, is_probe)
+
+    def run_catch_up(self, is_probe: bool) -> None:
+        """Catch up once."""
+        try:
+            self.catch_up(is_probe)
+        except Exception:
+            self.handle_error()
 
     def catch_up(self, is_probe: bool) -> None:
         """Read the changes since the known revision, exactly and at once."""
@@ -313,7 +320,7 @@
         read = self.source.watch(self.kind, revision, CATCH_UP_WAIT_MS, False, progress)
         if not isinstance(read, Failure):
             self.record_answer()
-            self.log_large_read(progress)
+            progress.log_if_large(self.kind)
             if self.apply(read.unwrap(), revision) is BatchEffect.OTHER_ERA:
                 self.restart()
         elif read.failure().kind in LIST_AGAIN_KINDS:
@@ -356,6 +363,11 @@
         if error.kind not in OUTAGE_KINDS:
             gevent.sleep(self.backoff.next_delay_ms() / MS_PER_SECOND)
 
+    def handle_error(self) -> None:
+        """Log an unexpected error; let other calls probe the store."""
+        _LOGGER.exception("discovery: Error while reading %s.", self.kind)
+        self.breaker.abandon_probe(self.clock.now_ms())
+
     def record_failure(self, error: StoreError, is_probe: bool) -> None:
         """Count a failed call, and tell the breaker what it shows."""
         self.calls[error.kind] += 1
@@ -371,16 +383,6 @@
         elif is_probe:
             self.breaker.on_answer()
 
-    def log_large_read(self, progress: ReadProgress) -> None:
-        """Log the size of a large answer, and how long it took to arrive."""
-        if progress.is_large:
-            _LOGGER.info(
-                "discovery: Read %s bytes of %s in %s ms.",
-                progress.byte_count,
-                self.kind,
-                progress.took_ms,
-            )
-
     def record_answer(self) -> None:
         """Record a successful call."""
         self.last_answer_ms = self.clock.now_ms()
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
@@ -1,9 +1,13 @@
 """Track how much of the answer to a read of the store has arrived."""
 
+import logging
+
 from bilberry_core.clock import Clock
 
 from .const import MAX_ARRIVAL_MS, MAX_ARRIVAL_PAUSE_MS
 
+_LOGGER = logging.getLogger(__name__)
+
 # Of an answer that takes a slow link a notable time.
 LARGE_ANSWER_BYTES = 64_000
 # Longer than the parts of an answer are apart on a slow link.
@@ -58,6 +62,16 @@
             return False
         return now_ms - self.last_ms < ARRIVING_MS
 
+    def log_if_large(self, kind: str) -> None:
+        """Log the size of a large answer, and how long it took to arrive."""
+        if self.is_large:
+            _LOGGER.info(
+                "discovery: Read %s bytes of %s in %s ms.",
+                self.byte_count,
+                kind,
+                self.took_ms,
+            )
+
     def begin(self) -> None:
         """Forget the answer to the call before."""
         self.announced_bytes = 0
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/store_breaker.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/store_breaker.py
@@ -61,3 +61,8 @@
         self.is_open = True
         self.is_probing = False
         self.retry_at_ms = now_ms + self.backoff.next_delay_ms()
+
+    def abandon_probe(self, now_ms: int) -> None:
+        """Let another call be the probe if one ended without an outcome."""
+        if self.is_probing:
+            self.on_failure(True, now_ms)
--- a/tests/bilberry_fleet/discovery/test_store_breaker.py
+++ b/tests/bilberry_fleet/discovery/test_store_breaker.py
@@ -150,3 +150,15 @@
             assert breaker.delay_ms(now_ms) == 0
         else:
             breaker.on_failure(True, now_ms)
+
+
+def test_a_probe_that_ends_by_an_error_holds_up_no_kind(monkeypatch):
+    monkeypatch.setattr("bilberry_fleet.discovery.feed.RETRY_MAX_MS", 1)
+    with NodeRig() as rig:
+        for index in range(len(KINDS)):
+            rig.fail(index)
+        rig.pass_time(RETRY_MAX_MS)
+        rig.source.answers[4].set_exception(ValueError("unexpected"))
+        for _ in range(3):
+            rig.pass_time(RETRY_MAX_MS)
+        assert len(rig.source.calls) > 5
