--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -10,7 +10,7 @@
 from bilberry_balance.placement.upstream import Upstream
 from bilberry_core.outcome import Failure
 
-from .connections import ExchangeOutcome
+from .attempt import ExchangeOutcome
 from .messages import HeaderNames
 from .rate_limit_log import log_rate_limit
 from .state import EntryState
--- a/packages/bilberry_router/src/bilberry_router/entry/active_request.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/active_request.py
@@ -9,7 +9,7 @@
 
 from ..http.const import HEADER_HOST
 from .answer_memory import HeldAnswer
-from .connections import ExchangeOutcome
+from .attempt import ExchangeOutcome
 from .liveness import CrashWitness
 from .messages import EntryAnswer, EntryRequest
 from .placer import PlacementRequest
--- a/packages/bilberry_router/src/bilberry_router/entry/answer_checks.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/answer_checks.py
@@ -5,7 +5,7 @@
 from bilberry_balance.outcomes import FailurePoint
 
 from ..http.response_parser import ResponseParser
-from .connections import ExchangeOutcome
+from .attempt import ExchangeOutcome
 from .heads import HEADER_ENCODING
 from .messages import HeaderNames
 
--- a/packages/bilberry_router/src/bilberry_router/entry/answers.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/answers.py
@@ -5,7 +5,7 @@
 from bilberry_balance.outcomes import FailureDecision
 from bilberry_core.const import HEADER_RETRY_AFTER, MS_PER_SECOND
 
-from .connections import ExchangeOutcome
+from .attempt import ExchangeOutcome
 from .const import NOT_RUN_STATUSES
 from .heads import answer_headers
 from .messages import EntryAnswer, local_answer
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -2,8 +2,6 @@
 
 import re
 from collections import deque
-from dataclasses import dataclass
-from typing import Protocol
 
 from bilberry_balance.outcomes import FailurePoint
 from bilberry_core.clock import Clock
@@ -13,6 +11,7 @@
 from ..http.response_parser import ResponseParser
 from ..http.upstream_socket import IdleState, UpstreamSocket
 from .answer_memory import AnswerMemory, HeldAnswer
+from .attempt import Attempt, ExchangeOutcome
 from .const import (
     CONNECT_TIMEOUT_MS,
     DEFAULT_IDLE_TIMEOUT_MS,
@@ -42,72 +41,6 @@
         return now_ms - self.idle_since_ms >= self.idle_limit_ms
 
 
-class Arrival(Protocol):
-    """Bound an answer that has begun to arrive."""
-
-    @property
-    def is_too_large(self) -> bool:
-        """Return whether the rest of the answer isn't wanted."""
-        ...
-
-    def add(self, byte_count: int, announced_bytes: int) -> int:
-        """Count bytes that have arrived; return the new deadline, in ms.
-
-        The answer has announced a body of `announced_bytes`, 0 if it has none.
-        """
-        ...
-
-
-@dataclass(slots=True)
-class Attempt:
-    """Represent one attempt to send a request; times in monotonic ms.
-
-    With an `arrival`, the deadline is that of the first bytes of the answer.
-    """
-
-    method: str
-    data: bytes
-    request_id: str
-    deadline_ms: int
-    idempotent: bool
-    needs_new_connection: bool = False
-    arrival: Arrival | None = None
-    cancelled: bool = False
-    sent: bool = False
-    connection: PooledConnection | None = None
-
-    @property
-    def is_too_large(self) -> bool:
-        """Return whether the rest of the answer isn't wanted."""
-        return self.arrival is not None and self.arrival.is_too_large
-
-    def cancel(self) -> None:
-        """Cancel the attempt; safe in the hub."""
-        self.cancelled = True
-        if self.connection is not None:
-            self.connection.shut_down()
-
-
-@dataclass(slots=True)
-class ExchangeOutcome:
-    """Represent a complete answer, or the point of failure.
-
-    `is_first_use` is whether the connection carried no request before, and
-    `connect_ms` how long its connect took if this attempt made it.
-    `received_bytes` counts all bytes of the answer, heads included.
-    `is_refused` is whether nothing listens at the address.
-    """
-
-    point: FailurePoint | None
-    parser: ResponseParser | None = None
-    body: bytes = b""
-    reason: str = ""
-    is_first_use: bool = False
-    connect_ms: int | None = None
-    received_bytes: int = 0
-    is_refused: bool = False
-
-
 class ConnectionPool:
     """Manage the connections from this node to upstreams."""
 
--- a/packages/bilberry_router/src/bilberry_router/entry/crash_evidence.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/crash_evidence.py
@@ -11,7 +11,7 @@
 
 from .active_request import ActiveRequest
 from .answer_checks import LOST_ANSWER_POINTS
-from .connections import ExchangeOutcome
+from .attempt import ExchangeOutcome
 from .liveness import CrashWitness, HealthConnection, Liveness
 from .messages import HeaderNames
 from .state import EntryState
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -28,7 +28,8 @@
     forwarded_answer,
     refusal_answer,
 )
-from .connections import Attempt, ConnectionPool, ExchangeOutcome
+from .attempt import Attempt, ExchangeOutcome
+from .connections import ConnectionPool
 from .const import MAX_FORWARDED_TIMEOUT_MS
 from .counts import (
     END_ANSWERED,
--- a/tests/bilberry_router/http/test_lost_connections.py
+++ b/tests/bilberry_router/http/test_lost_connections.py
@@ -7,7 +7,8 @@
 from bilberry_balance.deadline import Deadline
 from bilberry_balance.outcomes import FailurePoint
 from bilberry_core.clock import ManualClock
-from bilberry_router.entry.connections import Attempt, ConnectionPool, PooledConnection
+from bilberry_router.entry.attempt import Attempt
+from bilberry_router.entry.connections import ConnectionPool, PooledConnection
 from bilberry_router.forward.exchange import Exchange
 from bilberry_router.forward.transport import UpstreamConnection
 from bilberry_router.http.connection import Connection, ConnectionLostError
