Count an answer as arriving only until it is complete

The progress of a read now knows its end. Only answers that take 300 ms or more are logged, as renewals of a large fleet would fill the log.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -43,7 +43,7 @@
 )
 
 
-# Of answers that changes can't be followed from the known revision.
+# After these the kind is listed, as its changes can't be followed.
 LIST_AGAIN_KINDS = frozenset({StoreErrorKind.GONE, StoreErrorKind.TOO_LARGE})
 
 
@@ -65,9 +65,9 @@
     that only renew entries it pauses until peers know more. Lists are
     always exact, so that nothing of the past returns with a start, and
     `revision` is 0 until one is complete. While the store fails, the node's
-    feeds share one probe of it. When the store has come back from a copy,
-    all that is known is listed again, as its revisions are given out again.
-    So it is when the changes are larger than a list.
+    feeds share one probe of it. The kind is listed again when its changes are
+    gone or larger than a list, and when the store has come back from a copy,
+    as its revisions are then given out again.
     """
 
     __slots__ = (
@@ -159,7 +159,7 @@
             return
         snapshot = listed.unwrap()
         self.record_answer()
-        self.progress.log_if_large(self.kind)
+        self.progress.log_if_slow(self.kind)
         if snapshot.era != self.era or snapshot.revision < self.last_revision:
             self.begin_era(snapshot)
         self.changes_limit_bytes = max(
@@ -192,7 +192,7 @@
         self.peers.forget()
 
     def follow(self) -> None:
-        """Watch until the store drops the history."""
+        """Watch until the kind must be listed again."""
         while True:
             is_probe = self.wait_for_store()
             revision = self.revision
@@ -211,7 +211,7 @@
                 continue
             changes = watched.unwrap()
             self.record_answer()
-            self.progress.log_if_large(self.kind)
+            self.progress.log_if_slow(self.kind)
             effect = self.apply(changes, revision)
             if effect is BatchEffect.OTHER_ERA:
                 return
@@ -320,7 +320,7 @@
         read = self.source.watch(self.kind, revision, CATCH_UP_WAIT_MS, False, progress)
         if not isinstance(read, Failure):
             self.record_answer()
-            progress.log_if_large(self.kind)
+            progress.log_if_slow(self.kind)
             if self.apply(read.unwrap(), revision) is BatchEffect.OTHER_ERA:
                 self.restart()
         elif read.failure().kind in LIST_AGAIN_KINDS:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/read_progress.py
@@ -10,6 +10,7 @@
 
 # Of an answer that takes a slow link a notable time.
 LARGE_ANSWER_BYTES = 64_000
+SLOW_ANSWER_MS = 300
 # Longer than the parts of an answer are apart on a slow link.
 ARRIVING_MS = 300
 
@@ -17,9 +18,10 @@
 class ReadProgress:
     """Count the bytes of the answer to the latest call of a read.
 
-    `last_ms` is when the latest of them arrived, None before the first. An
-    answer of more than `limit_bytes` is given up, one that announces it at
-    once; with None any is read.
+    `last_ms` is when the latest of them arrived, None before the first, and
+    `has_ended` is set once no more are due. An answer of more than
+    `limit_bytes` is given up, one that announces it at once; with None any is
+    read.
     """
 
     __slots__ = (
@@ -27,6 +29,7 @@
         "byte_count",
         "clock",
         "first_ms",
+        "has_ended",
         "last_ms",
         "limit_bytes",
     )
@@ -38,6 +41,7 @@
         self.byte_count = 0
         self.first_ms: int | None = None
         self.last_ms: int | None = None
+        self.has_ended = False
 
     @property
     def is_large(self) -> bool:
@@ -57,14 +61,14 @@
         return (self.last_ms or 0) - (self.first_ms or 0)
 
     def is_arriving(self, now_ms: int) -> bool:
-        """Return whether a large answer was arriving a moment ago."""
-        if self.last_ms is None or not self.is_large:
+        """Return whether a large answer is arriving at present."""
+        if self.has_ended or self.last_ms is None or not self.is_large:
             return False
         return now_ms - self.last_ms < ARRIVING_MS
 
-    def log_if_large(self, kind: str) -> None:
-        """Log the size of a large answer, and how long it took to arrive."""
-        if self.is_large:
+    def log_if_slow(self, kind: str) -> None:
+        """Log the size of an answer that took long to arrive."""
+        if self.took_ms >= SLOW_ANSWER_MS:
             _LOGGER.info(
                 "discovery: Read %s bytes of %s in %s ms.",
                 self.byte_count,
@@ -78,6 +82,11 @@
         self.byte_count = 0
         self.first_ms = None
         self.last_ms = None
+        self.has_ended = False
+
+    def end(self) -> None:
+        """Record that the answer is complete, or given up."""
+        self.has_ended = True
 
     def add(self, byte_count: int, announced_bytes: int = 0) -> int:
         """Count bytes that arrived; return until when to wait for more."""
--- a/tests/bilberry_fleet/discovery/test_large_answers.py
+++ b/tests/bilberry_fleet/discovery/test_large_answers.py
@@ -58,6 +58,17 @@
         assert len(rig.exact_reads) == 1
 
 
+def test_a_large_answer_that_has_ended_holds_up_no_exact_read():
+    with FeedRig() as rig:
+        rig.tell(14)
+        rig.check()
+        rig.check(CATCH_UP_AFTER_MS - 1)
+        rig.feed.progress.add(LARGE_ANSWER_BYTES)
+        rig.feed.progress.end()
+        rig.check(1)
+        assert len(rig.exact_reads) == 1
+
+
 def test_a_small_answer_holds_up_no_exact_read():
     with FeedRig() as rig:
         rig.tell(14)
