--- a/tests/bilberry_fleet/discovery/test_large_answers.py
+++ b/tests/bilberry_fleet/discovery/test_large_answers.py
@@ -46,34 +46,30 @@
         assert rig.feed.progress.limit_bytes == limit_bytes
 
 
-def test_no_second_read_is_begun_while_a_large_answer_arrives():
-    with FeedRig() as rig:
-        rig.tell(14)
-        rig.check()
-        rig.check(CATCH_UP_AFTER_MS - 1)
-        rig.feed.progress.add(LARGE_ANSWER_BYTES)
-        rig.check(1)
-        assert rig.exact_reads == []
-        rig.check(ARRIVING_MS)
-        assert len(rig.exact_reads) == 1
+def read_when_due(rig, byte_count, has_ended=False):
+    """Let the watch bring bytes just before an exact read is due."""
+    rig.tell(14)
+    rig.check()
+    rig.check(CATCH_UP_AFTER_MS - 1)
+    rig.feed.progress.add(byte_count)
+    if has_ended:
+        rig.feed.progress.end()
+    rig.check(1)
+    return len(rig.exact_reads)
 
 
-def test_a_large_answer_that_has_ended_holds_up_no_exact_read():
+def test_no_second_read_is_begun_while_a_large_answer_arrives():
     with FeedRig() as rig:
-        rig.tell(14)
-        rig.check()
-        rig.check(CATCH_UP_AFTER_MS - 1)
-        rig.feed.progress.add(LARGE_ANSWER_BYTES)
-        rig.feed.progress.end()
-        rig.check(1)
+        assert read_when_due(rig, LARGE_ANSWER_BYTES) == 0
+        rig.check(ARRIVING_MS)
         assert len(rig.exact_reads) == 1
 
 
-def test_a_small_answer_holds_up_no_exact_read():
+@pytest.mark.parametrize(
+    ("byte_count", "has_ended"),
+    [(LARGE_ANSWER_BYTES, True), (LARGE_ANSWER_BYTES - 1, False)],
+    ids=["ended", "small"],
+)
+def test_no_other_answer_holds_up_an_exact_read(byte_count, has_ended):
     with FeedRig() as rig:
-        rig.tell(14)
-        rig.check()
-        rig.check(CATCH_UP_AFTER_MS - 1)
-        rig.feed.progress.add(LARGE_ANSWER_BYTES - 1)
-        rig.check(1)
-        assert len(rig.exact_reads) == 1
+        assert read_when_due(rig, byte_count, has_ended) == 1
