Let each run of the soak claim its loopback addresses

The addresses of a run came from its process id modulo 250. With the ids of two runs alike, the nodes of one took the addresses of nodes that were down in the other, and met its callers.

A run now claims a network by a socket that listens in it. test_runs_of_processes_whose_ids_look_alike_get_networks_of_their_own fails on the code before, which has no claim.

--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,5 @@
 """Play a schedule of faults on a deployment with callers."""
 
-import os
 import random
 from collections import Counter
 from dataclasses import dataclass
@@ -15,12 +14,11 @@
 from .deployment import Deployment
 from .faults import FAULTS, Act
 from .history import History
+from .loopback import LoopbackNetwork
 from .schedule import PlannedFault, draw_schedule
 
 AFTER_RECOVERY_MS = 2_000
 END_TIMEOUT_S = 30
-# Runs beside each other use loopback addresses of their own.
-NETWORKS = 250
 
 
 @dataclass(slots=True, frozen=True)
@@ -56,11 +54,9 @@
 
     def play(self) -> list[str]:
         """Return the broken promises."""
+        network = LoopbackNetwork()
         deployment = Deployment(
-            self.directory,
-            self.size.nodes,
-            self.size.upstreams,
-            network=1 + os.getpid() % NETWORKS,
+            self.directory, self.size.nodes, self.size.upstreams, network.number
         )
         self.history = deployment.history
         try:
@@ -70,6 +66,7 @@
             self.play_faults(deployment)
         finally:
             deployment.close()
+            network.close()
         return broken_promises(self.history)
 
     def play_faults(self, deployment: Deployment) -> None:
