Test that requests in progress follow the newest configuration

Evidence: a request that waits in the queue, one whose first attempt breaks off, and one whose connection is being made run in the old home region after the node has installed the configuration that moved it. An upstream that begins to drain while a connection to it is made still gets the request.

--- a/tests/bilberry_router/entry/common.py
+++ b/tests/bilberry_router/entry/common.py
@@ -197,9 +197,10 @@
             upstream.faults.hold = release
         return release
 
-    def register(self, upstream, draining=False):
+    def register(self, upstream, draining=False, region="mtl"):
+        domain = f"{region}-a"
         spec = UpstreamSpec(
-            upstream.name, "s", upstream.address, "mtl-a", "mtl", upstream.slots
+            upstream.name, "s", upstream.address, domain, region, upstream.slots
         )
         known = self.state.upstreams.put(spec, draining)
         if not upstream.queue_limit:
--- /dev/null
+++ b/tests/bilberry_router/entry/test_changed_routes.py
@@ -0,0 +1,154 @@
+"""Requests in progress follow the newest configuration."""
+
+import gevent
+import pytest
+from gevent.event import Event
+
+from bilberry_router.http.upstream_socket import UpstreamSocket
+
+from .common import Rig, config, eventually, route
+
+UNLIMITED_MS = 60_000
+
+
+def bound_to(region, **fields):
+    return route("read", "/read/", home_regions=frozenset([region]), **fields)
+
+
+class TwoRegions(Rig):
+    """Run one upstream in mtl and one in qc, and bind a route to mtl."""
+
+    def __enter__(self):
+        super().__enter__()
+        self.mtl, self.qc = self.upstreams
+        self.register(self.qc, region="qc")
+        limiter = self.state.region_share_limiter
+        limiter.relax_limit(self.clock.now_ms() + UNLIMITED_MS)
+        self.change(bound_to("mtl"))
+        return self
+
+    def change(self, *routes):
+        """Install a newer configuration with these routes."""
+        version = self.state.routes.config.version + 1
+        assert self.forwarder.state.install(config(version, routes))
+
+    def send(self, request_id="r1", **fields):
+        client = self.client()
+        client.send("/read/a", request_id=request_id, **fields)
+        return client
+
+    def send_held(self):
+        """Send a request that runs in mtl until released."""
+        self.mtl.faults.hold = Event()
+        client = self.send()
+        eventually(lambda: self.mtl.running == 1)
+        return client
+
+
+@pytest.fixture
+def rig():
+    with TwoRegions(slots=1) as rig:
+        yield rig
+
+
+@pytest.fixture
+def during_connect(monkeypatch):
+    """Return a function that sets what happens once, in the next connect."""
+    connect = UpstreamSocket.connect
+    actions = []
+
+    def connect_and_act(self, *args):
+        connect(self, *args)
+        if actions:
+            actions.pop()()
+
+    monkeypatch.setattr(UpstreamSocket, "connect", connect_and_act)
+    return actions.append
+
+
+def test_a_request_in_the_queue_goes_by_new_homes(rig):
+    first = rig.send_held()
+    second = rig.send("r2")
+    eventually(lambda: rig.queued == 1)
+    rig.change(bound_to("qc"))
+    assert second.answer().body == b"u1 ran r2"
+    rig.mtl.faults.hold.set()
+    assert first.answer().body == b"u0 ran r1"
+
+
+def test_a_second_attempt_goes_by_new_homes(rig):
+    rig.mtl.faults.script = [None]
+    client = rig.send_held()
+    rig.change(bound_to("qc"))
+    rig.mtl.faults.hold.set()
+    assert client.answer().body == b"u1 ran r1"
+    assert len(rig.mtl.served_requests) == 1
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+def test_a_request_that_connects_goes_by_new_homes(rig, during_connect, method):
+    is_idempotent = method == "GET"
+    rig.change(bound_to("mtl", idempotent=is_idempotent))
+    during_connect(lambda: rig.change(bound_to("qc", idempotent=is_idempotent)))
+    answer = rig.send(method=method).answer()
+    assert answer.body == b"u1 ran r1"
+    assert rig.mtl.served_requests == []
+
+
+def test_homes_that_change_and_return_bind_again(rig, during_connect):
+    def change_and_return():
+        rig.change(bound_to("qc"))
+        rig.change(bound_to("mtl"))
+
+    during_connect(change_and_return)
+    assert rig.send().answer().body == b"u0 ran r1"
+
+
+def test_a_request_that_connects_isnt_sent_to_an_upstream_that_leaves(
+    rig, during_connect
+):
+    rig.change(route("read", "/read/"))
+    during_connect(lambda: rig.register(rig.mtl, draining=True))
+    assert rig.send().answer().body == b"u1 ran r1"
+    assert rig.mtl.served_requests == []
+
+
+def test_a_request_in_the_queue_follows_its_route_to_another_service(rig):
+    first = rig.send_held()
+    second = rig.send("r2")
+    eventually(lambda: rig.queued == 1)
+    rig.change(route("read", "/read/", service="none"))
+    assert second.answer().status == 503
+    rig.mtl.faults.hold.set()
+    assert first.answer().status == 200
+    assert len(rig.ran) == 1
+
+
+def test_a_request_whose_route_is_dropped_ends_as_it_began(rig):
+    first = rig.send_held()
+    second = rig.send("r2")
+    eventually(lambda: rig.queued == 1)
+    rig.change(route("other", "/other/"))
+    gevent.sleep(0.05)
+    rig.mtl.faults.hold.set()
+    assert first.answer().body == b"u0 ran r1"
+    assert second.answer().body == b"u0 ran r2"
+
+
+def test_a_request_that_may_not_run_twice_any_more_isnt_repeated(rig):
+    rig.mtl.faults.script = [None]
+    client = rig.send_held()
+    rig.change(bound_to("qc", idempotent=False))
+    rig.mtl.faults.hold.set()
+    assert client.answer().status == 502
+    assert len(rig.ran) == 1
+
+
+def test_a_request_that_ran_isnt_repeated_because_its_route_now_allows_it(rig):
+    rig.change(bound_to("mtl", idempotent=False))
+    rig.mtl.faults.script = [None]
+    client = rig.send_held()
+    rig.change(bound_to("qc"))
+    rig.mtl.faults.hold.set()
+    assert client.answer().status == 502
+    assert len(rig.ran) == 1
