Log by which configuration a request was routed, and standstills of a node

Change: the line of a request's end names the version under which it came, when and to which regions it was sent, and the homes at the end. A node that ran nothing for half a second or more says so and counts it (bilberry_standstills_total, bilberry_standstill_ms_total).

--- a/packages/bilberry_router/src/bilberry_router/entry/active_request.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/active_request.py
@@ -20,8 +20,10 @@
 class ActiveRequest:
     """Store the state of a request in progress; times in monotonic ms.
 
-    `first_sent_ms` is the time from its arrival to the first attempt, -1
-    until then. A trial has a `witness`, and avoids `trial_excluded` upstreams.
+    `first_sent_ms` and `last_sent_ms` are the times from its arrival to the
+    first and the latest attempt, -1 until then. It arrived under the
+    configuration `arrived_version`. A trial has a `witness`, and avoids
+    `trial_excluded` upstreams.
     `upstream_error` is an upstream's answer with a server error,
     which is the final answer if no other attempt can be made; `held_error`
     counts its bytes meanwhile.
@@ -34,10 +36,13 @@
     key: str
     deadline_ms: int
     held_error: HeldAnswer
+    arrived_version: int
     attempts: int = 0
     first_sent_ms: int = -1
+    last_sent_ms: int = -1
     may_have_run: bool = False
     tried_upstreams: set[str] = field(default_factory=set)
+    tried_regions: set[str] = field(default_factory=set)
     upstream_error: EntryAnswer | None = None
     witness: CrashWitness | None = None
     trial_excluded: set[str] = field(default_factory=set)
--- a/packages/bilberry_router/src/bilberry_router/entry/events.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/events.py
@@ -41,9 +41,11 @@
 class RequestEnded(Event, frozen=True, tag="RequestEnded"):
     """Represent the end of a request that failed, was late or is sampled.
 
-    `limit_ms` is the time it was allowed, `first_sent_ms` the time until
-    its first attempt, -1 if there was none; `load` and `slots` are totals
-    of the service.
+    `limit_ms` is the time it was allowed, `first_sent_ms` and `last_sent_ms`
+    the times until its first and last attempt, -1 if there was none; `load`
+    and `slots` are totals of the service. It arrived under the configuration
+    `arrived_version`. `homes` are the regions it was bound to at the end, and
+    `regions` those of its attempts.
     """
 
     status: int
@@ -60,6 +62,10 @@
     load: int
     slots: int
     room: AvailabilityView | None = None
+    last_sent_ms: int = -1
+    arrived_version: int = 0
+    homes: list[str] = []
+    regions: list[str] = []
 
     def text(self) -> str:
         """Return the event as a sentence."""
@@ -68,7 +74,10 @@
             f"of {self.limit_ms}, first sent after {self.first_sent_ms} ms; "
             f"route {self.route} in version {self.config_version}, "
             f"service {self.service}, key {self.key}, attempts {self.attempts} "
-            f"at [{','.join(self.upstreams)}], load {self.load} of {self.slots}."
+            f"at [{','.join(self.upstreams)}], load {self.load} of {self.slots}; "
+            f"arrived in version {self.arrived_version}, last sent after "
+            f"{self.last_sent_ms} ms to [{','.join(self.regions)}], "
+            f"homes [{','.join(self.homes)}]."
         )
 
 
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -141,6 +141,7 @@
             key or "",
             request.arrived_ms + self.timeout_ms(head, rule),
             HeldAnswer(self.connections.answer_memory),
+            self.state.config_version,
         )
         self.state.retry_budget(active.service).on_request(request.arrived_ms)
         return active
@@ -228,11 +229,13 @@
             active.rule.idempotent,
             needs_new_connection=active.witness is not None,
         )
+        active.last_sent_ms = now_ms - active.request.arrived_ms
         if active.first_sent_ms < 0:
-            active.first_sent_ms = now_ms - active.request.arrived_ms
+            active.first_sent_ms = active.last_sent_ms
         self.rate_limit_log.record_attempt(upstream, is_retry=active.attempts > 0)
         active.request.on_caller_gone = attempt.cancel
         active.tried_upstreams.add(upstream.name)
+        active.tried_regions.add(upstream.spec.region)
         outcome = self.run_attempt(active, selection, attempt, now_ms)
         took_ms = self.state.clock.now_ms() - now_ms
         self.crash_evidence.record(active, upstream, outcome, now_ms)
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -199,13 +199,12 @@
         """Return a heartbeat with this node's current state."""
         self.heartbeat_number += 1
         now_ms = self.state.clock.now_ms()
-        config = self.state.routes.config
         upstreams = self.state.upstreams.by_name.values()
         return Heartbeat(
             self.node_info,
             self.heartbeat_number,
             self.is_ready() and not self.leaving,
-            config.version if config else 0,
+            self.state.config_version,
             self.state.in_flight(),
             self.suspects.reports(),
             [feed.revision_in(self.store_era.value) for feed in self.feeds],
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -15,6 +15,7 @@
 from .membership import Membership
 from .messages import EntryAnswer, EntryRequest, local_answer
 from .placer import Placer
+from .standstills import StandstillMonitor
 from .state import EntryState
 
 if TYPE_CHECKING:
@@ -32,6 +33,7 @@
     membership: Membership
     entry_listener: Listener
     is_ready: Callable[[], bool]
+    standstills: StandstillMonitor
 
 
 MetricSource = Callable[[MetricInputs, "MetricSet"], None]
@@ -183,11 +185,10 @@
     """Add the configuration version, and the age and calls of feeds."""
     state = inputs.state
     now_ms = state.clock.now_ms()
-    config = state.routes.config
     metrics.set_gauge(
         "bilberry_config_version",
         "Version of the installed configuration.",
-        config.version if config else 0,
+        state.config_version,
     )
     for feed in inputs.membership.feeds:
         if feed.last_answer_ms is not None:
@@ -245,3 +246,13 @@
         "Connections of callers.",
         len(inputs.entry_listener.connections),
     )
+    metrics.set_counter(
+        "bilberry_standstills_total",
+        "Times that this node ran nothing for half a second or more.",
+        inputs.standstills.count,
+    )
+    metrics.set_counter(
+        "bilberry_standstill_ms_total",
+        "Time that this node ran nothing in these.",
+        inputs.standstills.total_ms,
+    )
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -37,6 +37,7 @@
 from .metrics import MetricInputs, MetricsHandler
 from .placer import Placer
 from .platform import Platform
+from .standstills import StandstillMonitor
 from .state import EntryState, SharedLimits
 
 _LOGGER = logging.getLogger(__name__)
@@ -71,6 +72,7 @@
         "membership",
         "placer",
         "platform",
+        "standstills",
         "state",
         "task",
         "upstream_listener",
@@ -90,6 +92,7 @@
         self.platform = platform
         self.draining = False
         self.task: Greenlet | None = None
+        self.standstills = StandstillMonitor(clock, EXPIRY_INTERVAL_MS)
         self.state = EntryState(name, location, shared_limits, clock)
         self.placer = Placer(self.state)
         self.connections = ConnectionPool(platform.header_names.request_id, clock)
@@ -193,6 +196,7 @@
         """Remove outdated state at regular intervals."""
         while True:
             gevent.sleep(EXPIRY_INTERVAL_MS / MS_PER_SECOND)
+            self.standstills.record_wake()
             now_ms = self.clock.now_ms()
             self.upstream_listener.expire(now_ms)
             self.evacuation_listener.expire(now_ms)
@@ -262,6 +266,7 @@
             self.membership,
             self.entry_listener,
             self.is_ready,
+            self.standstills,
         )
         handlers: list[tuple[str, Handler]] = [
             (addresses.readiness, ready),
--- a/packages/bilberry_router/src/bilberry_router/entry/request_log.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/request_log.py
@@ -35,7 +35,6 @@
             return
         state = self.state
         now_ms = state.clock.now_ms()
-        config = state.routes.config
         refused = answer.status == HTTPStatus.SERVICE_UNAVAILABLE
         event = RequestEnded(
             status=answer.status,
@@ -44,7 +43,7 @@
             limit_ms=active.deadline_ms - active.request.arrived_ms,
             first_sent_ms=active.first_sent_ms,
             route=active.rule.name,
-            config_version=config.version if config else 0,
+            config_version=state.config_version,
             service=active.service,
             key=active.key,
             attempts=active.attempts,
@@ -54,6 +53,10 @@
             room=self.placer.availability(placement_request(active, state))
             if refused
             else None,
+            last_sent_ms=active.last_sent_ms,
+            arrived_version=active.arrived_version,
+            homes=sorted(active.rule.home_regions),
+            regions=sorted(active.tried_regions),
         )
         log_event(active.request_id, event)
 
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -90,6 +90,12 @@
         config = self.routes.config
         return config.limits if config else CallerLimits()
 
+    @property
+    def config_version(self) -> int:
+        """Return the version of the current configuration, 0 without one."""
+        config = self.routes.config
+        return config.version if config else 0
+
     def pool(self, service: str) -> PoolConfig:
         """Return the pool settings of a service."""
         config = self.routes.config
