Let requests in progress follow the newest configuration

Cause: a request kept the rule that was found when it came, in ActiveRequest.rule and in the copy that a queued PlacementRequest holds, for all its wait and all its attempts. A wait for a slot, a first attempt that breaks off late, or a slow connect lets it outlive the time that a new configuration may take. Class: a decision held over a wait and not looked at again.

Change: the rule is looked up again before each placement and each decision to repeat. A queued request whose homes or service have changed leaves the queue and is placed anew; it waits no longer than the queue's poll. Once connected, a request is sent only if its rule still allows that upstream and the upstream isn't draining, removed or evacuated by then (the new point placement_outdated, which proves that nothing was sent and costs no retry). A request whose route is dropped ends by its last rule, and one that may not be repeated by either rule isn't. A line RouteChanged tells of each request that a configuration sent elsewhere.

--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -200,8 +200,9 @@
         ended = node.placer.end_wait(entry, queued_at_ms)
         if isinstance(ended, Selection):
             self.send(node, call, ended)
-        else:
-            self.refuse(call, ended)
+            return
+        assert isinstance(ended, Refusal), "the routes of a simulation don't change"
+        self.refuse(call, ended)
 
     def give_up(
         self,
--- a/packages/bilberry_balance/src/bilberry_balance/outcomes.py
+++ b/packages/bilberry_balance/src/bilberry_balance/outcomes.py
@@ -28,6 +28,7 @@
     DEADLINE_IN_QUEUE = auto()
     BEFORE_CONNECT = auto()
     DURING_CONNECT = auto()
+    PLACEMENT_OUTDATED = auto()
     BEFORE_FIRST_BYTE = auto()
     SHED_NOT_RUN = auto()
     MID_BODY = auto()
@@ -110,6 +111,9 @@
     FailurePoint.DURING_CONNECT: FailureRule(
         ExecutionEvidence.NOT_RUN, STATUS_UNAVAILABLE, is_retryable=True
     ),
+    FailurePoint.PLACEMENT_OUTDATED: FailureRule(
+        ExecutionEvidence.NOT_RUN, STATUS_UNAVAILABLE, is_retryable=True
+    ),
     FailurePoint.BEFORE_FIRST_BYTE: FailureRule(
         ExecutionEvidence.NOT_RUN, STATUS_UNAVAILABLE, is_retryable=True
     ),
--- a/packages/bilberry_router/src/bilberry_router/entry/active_request.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/active_request.py
@@ -12,7 +12,7 @@
 from .attempt import ExchangeOutcome
 from .liveness import CrashWitness
 from .messages import EntryAnswer, EntryRequest
-from .placer import PlacementRequest
+from .placer import PlacementRequest, is_always_current
 from .state import EntryState
 
 
@@ -22,11 +22,11 @@
 
     `first_sent_ms` and `last_sent_ms` are the times from its arrival to the
     first and the latest attempt, -1 until then. It arrived under the
-    configuration `arrived_version`. A trial has a `witness`, and avoids
-    `trial_excluded` upstreams.
-    `upstream_error` is an upstream's answer with a server error,
-    which is the final answer if no other attempt can be made; `held_error`
-    counts its bytes meanwhile.
+    configuration `arrived_version`, and `rule` is that of `config_version`. It
+    may be repeated if it is `idempotent` by all its rules. A trial has a
+    `witness`, and avoids `trial_excluded` upstreams. `upstream_error` is an
+    upstream's answer with a server error, which is the final answer if no
+    other attempt can be made; `held_error` counts its bytes meanwhile.
     """
 
     request: EntryRequest
@@ -37,6 +37,8 @@
     deadline_ms: int
     held_error: HeldAnswer
     arrived_version: int
+    config_version: int
+    idempotent: bool
     attempts: int = 0
     first_sent_ms: int = -1
     last_sent_ms: int = -1
@@ -97,7 +99,11 @@
     return set_callback
 
 
-def placement_request(active: ActiveRequest, state: EntryState) -> PlacementRequest:
+def placement_request(
+    active: ActiveRequest,
+    state: EntryState,
+    is_current: Callable[[], bool] = is_always_current,
+) -> PlacementRequest:
     """Return the placement request for the next attempt."""
     rule = active.rule
     requirements = UpstreamRequirements(
@@ -115,4 +121,5 @@
         state.clock.now_ms(),
         target_end_ms,
         active.deadline_ms,
+        is_current=is_current,
     )
--- a/packages/bilberry_router/src/bilberry_router/entry/attempt.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/attempt.py
@@ -1,5 +1,6 @@
 """One attempt to send a request to an upstream, and what came of it."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -30,6 +31,7 @@
     """Represent one attempt to send a request; times in monotonic ms.
 
     With an `arrival`, the deadline is that of the first bytes of the answer.
+    `may_send` is asked once connected, as a connect may take its time.
     """
 
     method: str
@@ -39,6 +41,7 @@
     idempotent: bool
     needs_new_connection: bool = False
     arrival: Arrival | None = None
+    may_send: Callable[[], bool] | None = None
     cancelled: bool = False
     sent: bool = False
     connection: UpstreamSocket | None = None
@@ -48,6 +51,11 @@
         """Return whether the rest of the answer isn't wanted."""
         return self.arrival is not None and self.arrival.is_too_large
 
+    @property
+    def is_outdated(self) -> bool:
+        """Return whether the request may not be sent there any more."""
+        return self.may_send is not None and not self.may_send()
+
     def cancel(self) -> None:
         """Cancel the attempt; safe in the hub."""
         self.cancelled = True
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -112,6 +112,8 @@
         )
         if attempt.cancelled:
             return ExchangeOutcome(FailurePoint.CALLER_GONE_BEFORE_SEND)
+        if attempt.is_outdated:
+            return ExchangeOutcome(FailurePoint.PLACEMENT_OUTDATED)
         remaining_ms = attempt.deadline_ms - self.clock.now_ms()
         if remaining_ms <= 0:
             return ExchangeOutcome(FailurePoint.DEADLINE_IN_QUEUE)
--- a/packages/bilberry_router/src/bilberry_router/entry/events.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/events.py
@@ -113,6 +113,33 @@
         )
 
 
+@EVENTS.register("RouteChanged")
+class RouteChanged(Event, frozen=True, tag="RouteChanged"):
+    """Represent a new configuration that sends a waiting request elsewhere.
+
+    It arrived `waited_ms` before, and was sent `attempts` times until now.
+    """
+
+    route: str
+    arrived_version: int
+    config_version: int
+    waited_ms: int
+    attempts: int
+    old_homes: list[str]
+    homes: list[str]
+    old_service: str
+    service: str
+
+    def text(self) -> str:
+        """Return the event as a sentence."""
+        return (
+            f"entry: Route {self.route} changed after {self.waited_ms} ms and "
+            f"{self.attempts} attempts, version {self.arrived_version} to "
+            f"{self.config_version}: service {self.old_service} to {self.service}, "
+            f"homes [{','.join(self.old_homes)}] to [{','.join(self.homes)}]."
+        )
+
+
 def log_event(request_id: str, event: Event) -> None:
     """Log an event of one request."""
     extra: dict[str, Any] = {"request_id": request_id, "data": event}
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -10,7 +10,6 @@
 from bilberry_resources.routing import RouteRule
 from bilberry_steering.route_table import RouteEntry
 
-from ..http.const import HEADER_HOST
 from ..http.head import RequestHead
 from .accounts import OutcomeRecorder
 from .active_request import (
@@ -39,15 +38,21 @@
 from .crash_evidence import CrashEvidence
 from .heads import encode_request
 from .messages import EntryAnswer, EntryRequest, HeaderNames, local_answer
-from .placer import Placer
+from .placer import PlacementRequest, Placer, Unplaced
 from .rate_limit_log import RateLimitLog
 from .request_log import RequestLog
+from .route_updates import RouteUpdates
 from .state import EntryState
 from .suspect_placement import SuspectPlacement, SuspectRefusal
 from .suspects import EntrySuspects
 
 NO_CONFIG_RETRY_MS = 500
 
+# After these the upstream got nothing, so that another attempt is no retry.
+UNSENT_POINTS = frozenset(
+    {FailurePoint.DURING_CONNECT, FailurePoint.PLACEMENT_OUTDATED}
+)
+
 
 class Forwarder:
     """Handle callers' requests by forwarding them to upstreams.
@@ -64,6 +69,7 @@
         "placer",
         "rate_limit_log",
         "request_log",
+        "route_updates",
         "state",
         "stop_at_ms",
         "suspect_placement",
@@ -84,6 +90,7 @@
         self.outcome_recorder = OutcomeRecorder(state, header_names)
         self.rate_limit_log = RateLimitLog(state.clock)
         self.request_log = RequestLog(state, placer)
+        self.route_updates = RouteUpdates(state)
         self.suspects = EntrySuspects(state.node, state.clock)
         self.crash_evidence = CrashEvidence(state, self.suspects, header_names)
         self.suspect_placement = SuspectPlacement(placer, self.crash_evidence)
@@ -92,19 +99,17 @@
 
     def may_overlap(self, head: RequestHead) -> bool:
         """Return whether it may run before earlier requests have ended."""
-        entry = self.state.routes.find(head.first(HEADER_HOST) or "", head.path)
+        entry = self.route_updates.find(head)
         return entry is not None and entry.rule.idempotent
 
     def handle(self, request: EntryRequest) -> EntryAnswer:
         """Return the final answer to a request."""
-        head = request.head
-        routes = self.state.routes
         if self.is_refusing:
             return self.count_answer(request, draining_answer())
-        if routes.config is None:
+        if self.state.routes.config is None:
             answer = refusal_answer("no configuration yet", NO_CONFIG_RETRY_MS)
             return self.count_answer(request, answer)
-        entry = routes.find(head.first(HEADER_HOST) or "", head.path)
+        entry = self.route_updates.find(request.head)
         if entry is None:
             return self.count_answer(
                 request, local_answer(HTTPStatus.NOT_FOUND, "no route")
@@ -142,6 +147,8 @@
             request.arrived_ms + self.timeout_ms(head, rule),
             HeldAnswer(self.connections.answer_memory),
             self.state.config_version,
+            self.state.config_version,
+            rule.idempotent,
         )
         self.state.retry_budget(active.service).on_request(request.arrived_ms)
         return active
@@ -166,10 +173,11 @@
                 return placed
             record = self.attempt(active, placed)
             outcome = record.outcome
+            if outcome.point is None and not is_server_error(outcome):
+                return forwarded_answer(outcome)
+            self.route_updates.apply(active)
             if outcome.point is None:
                 answer = forwarded_answer(outcome)
-                if not is_server_error(outcome):
-                    return answer
                 record.will_retry = self.may_retry_error(active)
                 self.request_log.record_failed_attempt(active, placed, record)
                 if not record.will_retry:
@@ -185,15 +193,13 @@
                 return active.upstream_error or failure_answer(
                     outcome, decision, self.retry_after_ms(active)
                 )
-            if outcome.point is not FailurePoint.DURING_CONNECT:
+            if outcome.point not in UNSENT_POINTS:
                 budget = self.state.retry_budget(active.service)
                 budget.try_take(self.state.clock.now_ms())
 
     def place(self, active: ActiveRequest) -> Selection | EntryAnswer:
         """Return the upstream for the next attempt, or the final answer."""
-        placed = self.placer.place(
-            placement_request(active, self.state), disconnect_hook(active)
-        )
+        placed = self.wait_for_upstream(active)
         is_gone = active.request.caller_gone
         if isinstance(placed, Selection) and (is_gone or self.ends_too_late(placed)):
             self.placer.release(placed.upstream)
@@ -207,6 +213,28 @@
             return self.unplaced_answer(active, "no room", retry_after_ms)
         return placed
 
+    def wait_for_upstream(self, active: ActiveRequest) -> Selection | Refusal:
+        """Return what the placer decides by the newest configuration."""
+        while True:
+            placed = self.placer.place(
+                self.current_placement(active), disconnect_hook(active)
+            )
+            if not isinstance(placed, Unplaced):
+                return placed
+
+    def current_placement(self, active: ActiveRequest) -> PlacementRequest:
+        """Return a placement request that follows the newest configuration."""
+        self.route_updates.apply(active)
+        return placement_request(
+            active, self.state, lambda: self.route_updates.is_current(active)
+        )
+
+    def may_send(self, active: ActiveRequest, upstream: Upstream) -> bool:
+        """Return whether an upstream that was selected may still get it."""
+        if not self.route_updates.is_current(active):
+            return False
+        return self.state.upstreams.accepts_requests(upstream)
+
     def ends_too_late(self, selection: Selection) -> bool:
         """Return whether the node stops before an answer is expected."""
         if self.stop_at_ms is None:
@@ -226,17 +254,19 @@
             ),
             active.request_id,
             active.deadline_ms,
-            active.rule.idempotent,
+            active.idempotent,
             needs_new_connection=active.witness is not None,
+            may_send=lambda: self.may_send(active, upstream),
         )
         active.last_sent_ms = now_ms - active.request.arrived_ms
         if active.first_sent_ms < 0:
             active.first_sent_ms = active.last_sent_ms
         self.rate_limit_log.record_attempt(upstream, is_retry=active.attempts > 0)
         active.request.on_caller_gone = attempt.cancel
-        active.tried_upstreams.add(upstream.name)
-        active.tried_regions.add(upstream.spec.region)
         outcome = self.run_attempt(active, selection, attempt, now_ms)
+        if outcome.point is not FailurePoint.PLACEMENT_OUTDATED:
+            active.tried_upstreams.add(upstream.name)
+            active.tried_regions.add(upstream.spec.region)
         took_ms = self.state.clock.now_ms() - now_ms
         self.crash_evidence.record(active, upstream, outcome, now_ms)
         return AttemptRecord(outcome, took_ms, load, report_age_ms)
@@ -293,7 +323,7 @@
 
     def may_retry_error(self, active: ActiveRequest) -> bool:
         """Return whether to retry after a server error of an upstream."""
-        if not active.rule.idempotent:
+        if not active.idempotent:
             return False
         if not self.has_attempts_left(active) or active.request.caller_gone:
             return False
@@ -310,11 +340,11 @@
         """
         now_ms = self.state.clock.now_ms()
         budget = self.state.retry_budget(active.service)
-        granted = point is FailurePoint.DURING_CONNECT or budget.has_retry(now_ms)
+        granted = point in UNSENT_POINTS or budget.has_retry(now_ms)
         may_connect = point is not FailurePoint.BEFORE_CONNECT
         return decide_on_failure(
             point,
-            active.rule.idempotent,
+            active.idempotent,
             has_key=False,
             has_retry_budget=(
                 granted and may_connect and self.has_attempts_left(active)
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum, auto
 
 import gevent
 from gevent import Greenlet
@@ -31,13 +32,25 @@
 DEFAULT_RETRY_AFTER_MS = 500
 
 
+class Unplaced(Enum):
+    """Enumerate why a wait ended without a slot or a refusal."""
+
+    OUTDATED = auto()
+
+
+def is_always_current() -> bool:
+    """Return True, for requirements that don't change."""
+    return True
+
+
 @dataclass(slots=True)
 class PlacementRequest:
     """Represent a request for a slot; times in monotonic ms.
 
     `target_ms` is the latency objective and `target_end_ms` when it ends.
     The placement was requested at `requested_at_ms`, and the caller gets its
-    final answer by `deadline_ms`.
+    final answer by `deadline_ms`. `is_current` tells whether the requirements
+    still hold.
     """
 
     requirements: UpstreamRequirements
@@ -47,6 +60,7 @@
     target_end_ms: int
     deadline_ms: int
     granted: AsyncResult = field(default_factory=AsyncResult)
+    is_current: Callable[[], bool] = is_always_current
 
     def abandon(self) -> None:
         """End the wait without a slot, unless one was already granted."""
@@ -102,10 +116,11 @@
         self,
         request: PlacementRequest,
         on_disconnect: Callable[[Callable[[], None]], None],
-    ) -> Selection | Refusal:
+    ) -> Selection | Refusal | Unplaced:
         """Return a selected upstream, or a refusal; wait if necessary.
 
         `on_disconnect` gets a function to call when the caller disconnects.
+        Return OUTDATED if the requirements changed during the wait.
         """
         now_ms = self.state.clock.now_ms()
         begun = self.begin(request, now_ms)
@@ -143,7 +158,7 @@
 
     def wait_for_slot(
         self, entry: QueueEntry[PlacementRequest], now_ms: int
-    ) -> Selection | Refusal:
+    ) -> Selection | Refusal | Unplaced:
         """Return the slot granted to a queued request, or a refusal."""
         request = entry.item
         wait_s = max(0, entry.give_up_at_ms - now_ms) / MS_PER_SECOND
@@ -152,7 +167,7 @@
 
     def end_wait(
         self, entry: QueueEntry[PlacementRequest], queued_at_ms: int
-    ) -> Selection | Refusal:
+    ) -> Selection | Refusal | Unplaced:
         """Take a request off its queue; return its slot, or a refusal."""
         request = entry.item
         queue = self.queue_for(request)
@@ -161,8 +176,8 @@
         histograms = self.state.counts.for_service(request.requirements.service)
         histograms.queueing.observe(now_ms - queued_at_ms)
         if request.granted.value is not None:
-            selection: Selection = request.granted.value
-            return selection
+            granted: Selection | Unplaced = request.granted.value
+            return granted
         expected_ms = self.expected_wait_ms(request, now_ms)
         return Refusal(max(DEFAULT_RETRY_AFTER_MS, expected_ms))
 
@@ -215,6 +230,9 @@
         now_ms = self.state.clock.now_ms()
 
         def try_start(request: PlacementRequest) -> bool:
+            if not request.is_current():
+                request.granted.set(Unplaced.OUTDATED)
+                return True
             selection = self.try_place(request, now_ms)
             if not isinstance(selection, Selection):
                 return False
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/route_updates.py
@@ -0,0 +1,80 @@
+"""Let requests in progress follow changes of the configuration."""
+
+from bilberry_resources.routing import RouteRule
+from bilberry_steering.route_table import RouteEntry
+
+from ..http.const import HEADER_HOST
+from ..http.head import RequestHead
+from .active_request import ActiveRequest
+from .events import RouteChanged, log_event
+from .state import EntryState
+
+
+class RouteUpdates:
+    """Find the rule of a request, when it comes and while it waits.
+
+    A request whose route is dropped meanwhile ends by its last rule.
+    """
+
+    __slots__ = ("state",)
+
+    def __init__(self, state: EntryState) -> None:
+        self.state = state
+
+    def find(self, head: RequestHead) -> RouteEntry | None:
+        """Return the route of a request in the newest configuration."""
+        return self.state.routes.find(head.first(HEADER_HOST) or "", head.path)
+
+    def is_current(self, active: ActiveRequest) -> bool:
+        """Return whether it still may run where its rule lets it run."""
+        if active.config_version == self.state.config_version:
+            return True
+        entry = self.find(active.request.head)
+        return entry is None or _runs_alike(active, entry.rule)
+
+    def apply(self, active: ActiveRequest) -> None:
+        """Apply the newest configuration's rule to a request in progress.
+
+        A request that must not be repeated by either rule isn't repeated.
+        """
+        version = self.state.config_version
+        if active.config_version == version:
+            return
+        active.config_version = version
+        entry = self.find(active.request.head)
+        if entry is None:
+            return
+        old_rule, old_service = active.rule, active.service
+        runs_alike = _runs_alike(active, entry.rule)
+        active.rule = entry.rule
+        active.idempotent = active.idempotent and entry.rule.idempotent
+        if not _has_service(entry.rule, active.service):
+            active.service = entry.next_service()
+        if not runs_alike:
+            self._log_change(active, old_rule, old_service)
+
+    def _log_change(
+        self, active: ActiveRequest, old_rule: RouteRule, old_service: str
+    ) -> None:
+        event = RouteChanged(
+            route=active.rule.name,
+            arrived_version=active.arrived_version,
+            config_version=active.config_version,
+            waited_ms=self.state.clock.now_ms() - active.request.arrived_ms,
+            attempts=active.attempts,
+            old_homes=sorted(old_rule.home_regions),
+            homes=sorted(active.rule.home_regions),
+            old_service=old_service,
+            service=active.service,
+        )
+        log_event(active.request_id, event)
+
+
+def _runs_alike(active: ActiveRequest, rule: RouteRule) -> bool:
+    """Return whether a rule allows the service and regions it has now."""
+    same_homes = active.rule.home_regions == rule.home_regions
+    return same_homes and _has_service(rule, active.service)
+
+
+def _has_service(rule: RouteRule, service: str) -> bool:
+    return any(part.service == service for part in rule.services)
