Leave requests that are bound to a region out of the limit on shifts

What callers saw: with homes unchanged, requests bound to another region than their node's waited and were refused though its upstreams were free.

Cause: one RegionShareLimiter for all requests of a node. A region's credit grows only as requests are sent to others, so that a region whose share began at 0 had none to give, and a bound request had no other region to go to.

Change: each set of home regions has a limiter of its own, as its requests have the same choice. A set of one region has no choice, so that its limiter always gives way. Requests bound to a region no longer move the shares of the others.

--- a/tests/bilberry_platform/test_homes.py
+++ b/tests/bilberry_platform/test_homes.py
@@ -59,3 +59,14 @@
         deployment.write("config", "main", config(5, ("qc", "mtl")))
         eventually(lambda: node.state.routes.config.version == 5)
         assert regions_by_host(node) == {HOSTS[0]: {"qc"}, HOSTS[1]: {"mtl"}}
+
+
+def test_requests_bound_to_another_region_are_not_refused_while_it_has_room():
+    with Deployment() as deployment:
+        deployment.register(deployment.upstreams[1], zone="qc-a")
+        deployment.write("config", "main", config(2, ("mtl", "qc")))
+        node = deployment.node()
+        client = connect(node.entry_listener)
+        for index in range(20):
+            client.send("/zu/x", request_id=f"r{index}", host=HOSTS[1])
+            assert served_region(client.answer()) == "qc"
--- a/tests/bilberry_router/entry/test_changed_routes.py
+++ b/tests/bilberry_router/entry/test_changed_routes.py
@@ -8,8 +8,6 @@
 
 from .common import Rig, config, eventually, route
 
-UNLIMITED_MS = 60_000
-
 
 def bound_to(region, **fields):
     return route("read", "/read/", home_regions=frozenset([region]), **fields)
@@ -22,8 +20,6 @@
         super().__enter__()
         self.mtl, self.qc = self.upstreams
         self.register(self.qc, region="qc")
-        limiter = self.state.region_share_limiter
-        limiter.relax_limit(self.clock.now_ms() + UNLIMITED_MS)
         self.change(bound_to("mtl"))
         return self
 
