--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -2,10 +2,9 @@
 
 from http import HTTPStatus
 
-from bilberry_balance.outcomes import FailureDecision, FailurePoint, decide_on_failure
+from bilberry_balance.outcomes import FailurePoint
 from bilberry_balance.placement.admission import Refusal, spread_retry_after_ms
 from bilberry_balance.placement.candidates import Selection
-from bilberry_balance.placement.processing_times import Warmth
 from bilberry_balance.placement.upstream import Upstream
 from bilberry_resources.routing import RouteRule
 from bilberry_steering.route_table import RouteEntry
@@ -41,6 +40,7 @@
 from .placer import PlacementRequest, Placer, Unplaced
 from .rate_limit_log import RateLimitLog
 from .request_log import RequestLog
+from .retry_decisions import RetryDecisions
 from .route_updates import RouteUpdates
 from .state import EntryState
 from .suspect_placement import SuspectPlacement, SuspectRefusal
@@ -48,11 +48,6 @@
 
 NO_CONFIG_RETRY_MS = 500
 
-# After these the upstream got nothing, so that another attempt is no retry.
-UNSENT_POINTS = frozenset(
-    {FailurePoint.DURING_CONNECT, FailurePoint.PLACEMENT_OUTDATED}
-)
-
 
 class Forwarder:
     """Handle callers' requests by forwarding them to upstreams.
@@ -69,6 +64,7 @@
         "placer",
         "rate_limit_log",
         "request_log",
+        "retry_decisions",
         "route_updates",
         "state",
         "stop_at_ms",
@@ -90,6 +86,7 @@
         self.outcome_recorder = OutcomeRecorder(state, header_names)
         self.rate_limit_log = RateLimitLog(state.clock)
         self.request_log = RequestLog(state, placer)
+        self.retry_decisions = RetryDecisions(state)
         self.route_updates = RouteUpdates(state)
         self.suspects = EntrySuspects(state.node, state.clock)
         self.crash_evidence = CrashEvidence(state, self.suspects, header_names)
@@ -178,14 +175,14 @@
             self.route_updates.apply(active)
             if outcome.point is None:
                 answer = forwarded_answer(outcome)
-                record.will_retry = self.may_retry_error(active)
+                record.will_retry = self.retry_decisions.may_retry_error(active)
                 self.request_log.record_failed_attempt(active, placed, record)
                 if not record.will_retry:
                     return answer
                 active.hold_error(answer)
                 active.may_have_run = True
                 continue
-            decision = self.decide(active, outcome.point)
+            decision = self.retry_decisions.decide(active, outcome.point)
             record.will_retry = decision.retry
             self.request_log.record_failed_attempt(active, placed, record)
             active.may_have_run = decision.may_have_run
@@ -193,9 +190,7 @@
                 return active.upstream_error or failure_answer(
                     outcome, decision, self.retry_after_ms(active)
                 )
-            if outcome.point not in UNSENT_POINTS:
-                budget = self.state.retry_budget(active.service)
-                budget.try_take(self.state.clock.now_ms())
+            self.retry_decisions.record_retry(active, outcome.point)
 
     def place(self, active: ActiveRequest) -> Selection | EntryAnswer:
         """Return the upstream for the next attempt, or the final answer."""
@@ -321,42 +316,6 @@
         processing_times = self.state.processing_times(active.rule, active.service)
         self.outcome_recorder.record(selection, outcome, processing_times, sent_at_ms)
 
-    def may_retry_error(self, active: ActiveRequest) -> bool:
-        """Return whether to retry after a server error of an upstream."""
-        if not active.idempotent:
-            return False
-        if not self.has_attempts_left(active) or active.request.caller_gone:
-            return False
-        now_ms = self.state.clock.now_ms()
-        processing_times = self.state.processing_times(active.rule, active.service)
-        if active.remaining_ms(now_ms) < processing_times.expected_ms(Warmth.KNOWN):
-            return False
-        return self.state.retry_budget(active.service).try_take(now_ms)
-
-    def decide(self, active: ActiveRequest, point: FailurePoint) -> FailureDecision:
-        """Decide between a retry and an answer after a failed attempt.
-
-        Without a socket to connect with, no other upstream can be tried.
-        """
-        now_ms = self.state.clock.now_ms()
-        budget = self.state.retry_budget(active.service)
-        granted = point in UNSENT_POINTS or budget.has_retry(now_ms)
-        may_connect = point is not FailurePoint.BEFORE_CONNECT
-        return decide_on_failure(
-            point,
-            active.idempotent,
-            has_key=False,
-            has_retry_budget=(
-                granted and may_connect and self.has_attempts_left(active)
-            ),
-            deadline_left_ms=active.remaining_ms(now_ms),
-            may_have_run=active.may_have_run,
-        )
-
-    def has_attempts_left(self, active: ActiveRequest) -> bool:
-        """Return whether the route allows another attempt."""
-        return active.attempts < active.rule.max_attempts
-
     def unplaced_answer(
         self, active: ActiveRequest, reason: str, retry_after_ms: int
     ) -> EntryAnswer:
