Read the configuration again after a standstill before requests go on

What callers saw: requests that reached a node while it ran nothing for a second or more were sent, when it ran again, by the configuration from before: to homes and services that had been replaced and into evacuated domains.

Cause: requests and the store's news wait side by side in the sockets of a process that stands still, and the requests are handled first. A node whose cheap watch has missed the change doesn't know of it until a peer tells.

Change: after a standstill of 1 s or more, requests wait for an exact read of configuration and evacuations, 0.5 s at most. If the store can't be read they go on by what is known, and nobody is refused.

--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -40,6 +40,7 @@
 from .placer import PlacementRequest, Placer, Unplaced
 from .rate_limit_log import RateLimitLog
 from .request_log import RequestLog
+from .rereads import Rereads
 from .retry_decisions import RetryDecisions
 from .route_updates import RouteUpdates
 from .state import EntryState
@@ -52,7 +53,8 @@
 class Forwarder:
     """Handle callers' requests by forwarding them to upstreams.
 
-    The node stops at `stop_at_ms`, None while that isn't planned.
+    The node stops at `stop_at_ms`, None while that isn't planned. With
+    `rereads`, requests wait for them after a standstill of the node.
     """
 
     __slots__ = (
@@ -64,6 +66,7 @@
         "placer",
         "rate_limit_log",
         "request_log",
+        "rereads",
         "retry_decisions",
         "route_updates",
         "state",
@@ -93,6 +96,7 @@
         self.suspect_placement = SuspectPlacement(placer, self.crash_evidence)
         self.is_refusing = False
         self.stop_at_ms: int | None = None
+        self.rereads: Rereads | None = None
 
     def may_overlap(self, head: RequestHead) -> bool:
         """Return whether it may run before earlier requests have ended."""
@@ -106,6 +110,7 @@
         if self.state.routes.config is None:
             answer = refusal_answer("no configuration yet", NO_CONFIG_RETRY_MS)
             return self.count_answer(request, answer)
+        self.wait_for_rereads()
         entry = self.route_updates.find(request.head)
         if entry is None:
             return self.count_answer(
@@ -217,8 +222,14 @@
             if not isinstance(placed, Unplaced):
                 return placed
 
+    def wait_for_rereads(self) -> None:
+        """Wait until the node knows what changed while it stood still."""
+        if self.rereads is not None:
+            self.rereads.wait()
+
     def current_placement(self, active: ActiveRequest) -> PlacementRequest:
         """Return a placement request that follows the newest configuration."""
+        self.wait_for_rereads()
         self.route_updates.apply(active)
         return placement_request(
             active, self.state, lambda: self.route_updates.is_current(active)
@@ -226,6 +237,8 @@
 
     def may_send(self, active: ActiveRequest, upstream: Upstream) -> bool:
         """Return whether an upstream that was selected may still get it."""
+        if self.rereads is not None and self.rereads.is_needed():
+            return False
         if not self.route_updates.is_current(active):
             return False
         return self.state.upstreams.accepts_requests(upstream)
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -37,6 +37,7 @@
 from .metrics import MetricInputs, MetricsHandler
 from .placer import Placer
 from .platform import Platform
+from .rereads import Rereads
 from .standstills import StandstillMonitor
 from .state import EntryState, SharedLimits
 
@@ -72,6 +73,7 @@
         "membership",
         "placer",
         "platform",
+        "rereads",
         "standstills",
         "state",
         "task",
@@ -92,7 +94,6 @@
         self.platform = platform
         self.draining = False
         self.task: Greenlet | None = None
-        self.standstills = StandstillMonitor(clock, EXPIRY_INTERVAL_MS)
         self.state = EntryState(name, location, shared_limits, clock)
         self.placer = Placer(self.state)
         self.connections = ConnectionPool(platform.header_names.request_id, clock)
@@ -119,6 +120,8 @@
         )
         self.evacuation_listener = NamesListener(self.evacuate, clock)
         self.feeds = self._feeds(stable_hash(name))
+        self.standstills = StandstillMonitor(clock, EXPIRY_INTERVAL_MS)
+        self.forwarder.rereads = self.rereads = self._rereads()
         self.membership.feeds = self.feeds
         self.entry_listener = Listener(
             addresses.entry,
@@ -151,6 +154,7 @@
             feed.start()
         self.membership.start()
         self.placer.start()
+        self.standstills.start()
         self.task = gevent.spawn(self.run_expiry)
         for listener in self.listeners:
             listener.start()
@@ -187,6 +191,7 @@
         for feed in self.feeds:
             feed.close()
         self.placer.close()
+        self.rereads.close()
         if self.task is not None:
             self.task.kill()
             self.task = None
@@ -196,7 +201,7 @@
         """Remove outdated state at regular intervals."""
         while True:
             gevent.sleep(EXPIRY_INTERVAL_MS / MS_PER_SECOND)
-            self.standstills.record_wake()
+            self.rereads.record_wake()
             now_ms = self.clock.now_ms()
             self.upstream_listener.expire(now_ms)
             self.evacuation_listener.expire(now_ms)
@@ -257,6 +262,11 @@
             for index, (kind, listener) in enumerate(listeners)
         ]
 
+    def _rereads(self) -> Rereads:
+        kinds = (self.platform.kinds.config, self.platform.kinds.evacuations)
+        feeds = [feed for feed in self.feeds if feed.kind in kinds]
+        return Rereads(self.standstills, feeds, self.clock)
+
     def _auxiliary_listeners(self, addresses: NodeAddresses) -> list[Listener]:
         ready = ReadinessHandler(self.platform.ready_path, self.is_ready)
         directory = DirectoryHandler(self.platform, self.membership.entry_points)
--- /dev/null
+++ b/packages/bilberry_router/src/bilberry_router/entry/rereads.py
@@ -0,0 +1,76 @@
+"""Read again after a standstill what decides where requests may go."""
+
+from collections.abc import Sequence
+
+import gevent
+from gevent import Greenlet
+
+from bilberry_core.clock import Clock
+from bilberry_core.const import MS_PER_SECOND
+from bilberry_fleet.discovery.feed import Feed
+
+from .standstills import MIN_REREAD_MS, StandstillMonitor
+
+# Then requests go on by what is known.
+MAX_REREAD_MS = 500
+
+
+class Rereads:
+    """Let requests wait after a standstill until some kinds are read again.
+
+    Changes may have come meanwhile, and requests that arrived then would be
+    handled before the node has read them.
+    """
+
+    __slots__ = ("clock", "feeds", "monitor", "task")
+
+    def __init__(
+        self, monitor: StandstillMonitor, feeds: Sequence[Feed], clock: Clock
+    ) -> None:
+        self.monitor = monitor
+        self.feeds = feeds
+        self.clock = clock
+        self.task: Greenlet | None = None
+
+    def close(self) -> None:
+        """Stop reading."""
+        if self.task is not None:
+            self.task.kill()
+            self.task = None
+
+    def record_wake(self) -> None:
+        """Record that the node runs; read again if it stood still for long."""
+        if self.monitor.record_wake() >= MIN_REREAD_MS and not self.is_reading():
+            self.task = gevent.spawn(self.read)
+
+    def is_needed(self) -> bool:
+        """Return whether a request has to wait."""
+        return self.is_reading() or self.monitor.late_ms() >= MIN_REREAD_MS
+
+    def is_reading(self) -> bool:
+        """Return whether the kinds are being read."""
+        return self.task is not None and not self.task.ready()
+
+    def wait(self) -> None:
+        """Wait until nothing has to be read, for a limited time."""
+        if not self.is_needed():
+            return
+        if not self.is_reading():
+            self.record_wake()
+        if self.task is not None:
+            self.task.join(timeout=MAX_REREAD_MS / MS_PER_SECOND)
+
+    def read(self) -> None:
+        """Read what changed, exactly, unless the store fails."""
+        with gevent.Timeout(MAX_REREAD_MS / MS_PER_SECOND, False):
+            gevent.joinall([gevent.spawn(self._read_kind, feed) for feed in self.feeds])
+
+    def _read_kind(self, feed: Feed) -> None:
+        """Read after a read that runs, as its answer may be older."""
+        if feed.catch_up_greenlet is not None:
+            feed.catch_up_greenlet.join()
+        if feed.revision == 0:
+            return
+        feed.start_catch_up(self.clock.now_ms())
+        if feed.catch_up_greenlet is not None:
+            feed.catch_up_greenlet.join()
