Send callers whose region has no node to the home regions of their host

What callers saw: while no node of their region was ready, such as during planned restarts, callers were told of all nodes of all other regions.

Cause: the directory's answer didn't depend on the host of the query. It knew only the caller's failure domain and region.

Change: DirectoryQuery carries the host. When the caller's region has no ready node, nearest_nodes returns those in the regions that are home to the most of the host's routes with homes. All nodes are returned as before if these regions have none, if the host has no such routes, or if no host is given. The caller's failure domain and region stay first. The routes are read from the newest configuration at each query, so that nothing is held.

--- a/packages/bilberry_router/src/bilberry_router/entry/handlers.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/handlers.py
@@ -4,6 +4,7 @@
 from http import HTTPStatus
 
 from bilberry_steering.nearest import NodeLocation, nearest_nodes
+from bilberry_steering.route_table import RouteTable
 
 from ..const import CONTENT_JSON
 from ..http.head import RequestHead
@@ -37,12 +38,16 @@
 class DirectoryHandler:
     """Answer directory queries with the nodes that a caller should use."""
 
-    __slots__ = ("entry_points", "platform")
+    __slots__ = ("entry_points", "platform", "routes")
 
     def __init__(
-        self, platform: Platform, entry_points: Callable[[], list[NodeLocation]]
+        self,
+        platform: Platform,
+        routes: RouteTable,
+        entry_points: Callable[[], list[NodeLocation]],
     ) -> None:
         self.platform = platform
+        self.routes = routes
         self.entry_points = entry_points
 
     def may_overlap(self, head: RequestHead) -> bool:
@@ -56,7 +61,12 @@
         query = self.platform.decode_query(request.head.query)
         if query is None:
             return local_answer(HTTPStatus.BAD_REQUEST, "the caller's place is missing")
-        named = nearest_nodes(self.entry_points(), query.failure_domain, query.region)
+        named = nearest_nodes(
+            self.entry_points(),
+            query.failure_domain,
+            query.region,
+            self.routes.home_sets(query.host),
+        )
         if not named:
             return local_answer(HTTPStatus.SERVICE_UNAVAILABLE, "no node is ready")
         addresses = [point.address for point in named[:MAX_DIRECTORY_NODES]]
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -259,7 +259,9 @@
 
     def _auxiliary_listeners(self, addresses: NodeAddresses) -> list[Listener]:
         ready = ReadinessHandler(self.platform.ready_path, self.is_ready)
-        directory = DirectoryHandler(self.platform, self.membership.entry_points)
+        directory = DirectoryHandler(
+            self.platform, self.state.routes, self.membership.entry_points
+        )
         metric_inputs = MetricInputs(
             self.state,
             self.placer,
--- a/packages/bilberry_router/src/bilberry_router/entry/platform.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/platform.py
@@ -30,10 +30,14 @@
 
 @dataclass(slots=True, frozen=True)
 class DirectoryQuery:
-    """Represent a caller's query for nodes, with its location."""
+    """Represent a caller's query for nodes, with its location.
+
+    `host` is the host of the caller's requests, empty if it isn't given.
+    """
 
     failure_domain: str
     region: str
+    host: str = ""
 
 
 class NodeRegistration(Protocol):
--- a/packages/bilberry_steering/src/bilberry_steering/nearest.py
+++ b/packages/bilberry_steering/src/bilberry_steering/nearest.py
@@ -1,5 +1,6 @@
 """Select the entry nodes nearest to a caller."""
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
@@ -16,13 +17,17 @@
 
 
 def nearest_nodes(
-    nodes: Sequence[NodeLocation], failure_domain: str, region: str
+    nodes: Sequence[NodeLocation],
+    failure_domain: str,
+    region: str,
+    home_sets: Sequence[frozenset[str]] = (),
 ) -> list[NodeLocation]:
     """Return the nodes in the caller's failure domain, region or anywhere.
 
     A failure domain with fewer than two nodes is widened to its region, so
-    that a caller that loses one node has another. All nodes are returned
-    only if the region has none.
+    that a caller that loses one node has another. If the region has none,
+    those in the regions that most of the `home_sets` name are returned, and
+    all nodes only if these have none either.
     """
     filters: list[Callable[[NodeLocation], bool]] = [
         lambda node: node.failure_domain == failure_domain,
@@ -33,4 +38,14 @@
         if len(found) >= MIN_NODES_PER_AREA:
             return found
     in_region = [node for node in nodes if node.region == region]
-    return in_region or list(nodes)
+    if in_region:
+        return in_region
+    homes = most_named_regions(home_sets)
+    return [node for node in nodes if node.region in homes] or list(nodes)
+
+
+def most_named_regions(home_sets: Sequence[frozenset[str]]) -> frozenset[str]:
+    """Return the regions in the most sets; those in all sets, if any are."""
+    counts = Counter(region for homes in home_sets for region in homes)
+    most = max(counts.values(), default=0)
+    return frozenset(region for region, count in counts.items() if count == most)
--- a/packages/bilberry_steering/src/bilberry_steering/route_table.py
+++ b/packages/bilberry_steering/src/bilberry_steering/route_table.py
@@ -59,6 +59,11 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def home_sets(self, host: str) -> list[frozenset[str]]:
+        """Return the home regions of each of the host's routes with homes."""
+        entries = self.hosts.get(_host_name(host), {}).values()
+        return [entry.rule.home_regions for entry in entries if entry.rule.home_regions]
+
     def _new_selector(self, rule: RouteRule) -> WeightedRoundRobin:
         return WeightedRoundRobin(rule.services, self.rng.randrange(MAX_SKIPPED_TURNS))
 
--- a/tests/bilberry_platform/test_decoding.py
+++ b/tests/bilberry_platform/test_decoding.py
@@ -159,6 +159,8 @@
 def test_directory_queries_and_answers():
     query = decode_query("name=shop.example&region=mtl&zone=mtl-a")
     assert (query.failure_domain, query.region) == ("mtl-a", "mtl")
+    assert query.host == "shop.example"
+    assert decode_query("region=mtl").host == ""
     assert decode_query("name=shop.example") is None
     body = encode_addresses(["10.0.0.1:80"], 2_000)
     assert body == b'{"addresses":["10.0.0.1:80"],"ttl_s":2.0}'
--- a/tests/bilberry_steering/test_route_table.py
+++ b/tests/bilberry_steering/test_route_table.py
@@ -6,7 +6,7 @@
 from bilberry_steering.route_table import RouteTable
 
 
-def rule(name, prefix, host="shop.example", parts=None):
+def rule(name, prefix, host="shop.example", parts=None, homes=()):
     return RouteRule(
         name=name,
         host=host,
@@ -16,6 +16,7 @@
         timeout_ms=1_000,
         target_latency_ms=500,
         max_attempts=2,
+        home_regions=frozenset(homes),
     )
 
 
@@ -68,3 +69,16 @@
         got.append(table.find("shop.example", "/a/x").next_service())
         table.install(RoutingConfig(version, (rule("a", "/a/", parts=parts),)))
     assert got.count("small") == 10
+
+
+def test_home_sets_are_those_of_the_hosts_routes_with_homes():
+    table = table_of(
+        rule("a", "/a/", homes=["mtl"]),
+        rule("b", "/b/", homes=["mtl", "qc"]),
+        rule("c", "/c/"),
+        rule("d", "/d/", host="other.example", homes=["sag"]),
+    )
+    expected = [{"mtl"}, {"mtl", "qc"}]
+    assert table.home_sets("SHOP.example:8381") == expected
+    assert table.home_sets("none.example") == []
+    assert table.home_sets("") == []
