--- a/packages/bilberry_steering/src/bilberry_steering/nearest.py
+++ b/packages/bilberry_steering/src/bilberry_steering/nearest.py
@@ -1,7 +1,7 @@
 """Select the entry nodes nearest to a caller."""
 
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 MIN_NODES_PER_AREA = 2
@@ -20,7 +20,7 @@
     nodes: Sequence[NodeLocation],
     failure_domain: str,
     region: str,
-    home_sets: Sequence[frozenset[str]] = (),
+    home_sets: Iterable[frozenset[str]] = (),
 ) -> list[NodeLocation]:
     """Return the nodes in the caller's failure domain, region or anywhere.
 
@@ -44,7 +44,7 @@
     return [node for node in nodes if node.region in homes] or list(nodes)
 
 
-def most_named_regions(home_sets: Sequence[frozenset[str]]) -> frozenset[str]:
+def most_named_regions(home_sets: Iterable[frozenset[str]]) -> frozenset[str]:
     """Return the regions in the most sets; those in all sets, if any are."""
     counts = Counter(region for homes in home_sets for region in homes)
     most = max(counts.values(), default=0)
--- a/packages/bilberry_steering/src/bilberry_steering/route_table.py
+++ b/packages/bilberry_steering/src/bilberry_steering/route_table.py
@@ -1,6 +1,7 @@
 """Look up the route of a request by host and longest path prefix."""
 
 import random
+from collections.abc import Iterator
 
 from bilberry_resources.routing import RouteRule, RoutingConfig
 
@@ -59,10 +60,11 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def home_sets(self, host: str) -> list[frozenset[str]]:
-        """Return the home regions of each of the host's routes with homes."""
-        entries = self.hosts.get(_host_name(host), {}).values()
-        return [entry.rule.home_regions for entry in entries if entry.rule.home_regions]
+    def home_sets(self, host: str) -> Iterator[frozenset[str]]:
+        """Yield the home regions of each of the host's routes with homes."""
+        for entry in self.hosts.get(_host_name(host), {}).values():
+            if entry.rule.home_regions:
+                yield entry.rule.home_regions
 
     def _new_selector(self, rule: RouteRule) -> WeightedRoundRobin:
         return WeightedRoundRobin(rule.services, self.rng.randrange(MAX_SKIPPED_TURNS))
--- a/tests/bilberry_steering/test_route_table.py
+++ b/tests/bilberry_steering/test_route_table.py
@@ -79,6 +79,6 @@
         rule("d", "/d/", host="other.example", homes=["sag"]),
     )
     expected = [{"mtl"}, {"mtl", "qc"}]
-    assert table.home_sets("SHOP.example:8381") == expected
-    assert table.home_sets("none.example") == []
-    assert table.home_sets("") == []
+    assert list(table.home_sets("SHOP.example:8381")) == expected
+    assert list(table.home_sets("none.example")) == []
+    assert list(table.home_sets("")) == []
