Limit region shifts only where a request has a choice of regions

Cause: the choice was taken from the homes alone, and the credit is what a limiter may deviate, so that it must be divided by several.

Change: if all eligible upstreams are in one region, the request goes there and counts in no limit; only sets of several regions have limiters. Several limiters have 0.9 requests of credit each, begin with the shares of requests without homes as far as their regions allow, and begin anew after 10 s without a request.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/candidates.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/candidates.py
@@ -1,7 +1,7 @@
 """What a request needs of an upstream, and the upstreams that it may get."""
 
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 
 from .costs import INFINITE_COST_MS
@@ -26,11 +26,22 @@
 
 @dataclass(slots=True, frozen=True)
 class Selection:
-    """Represent a selected upstream and its expected processing time."""
+    """Represent a selected upstream and its expected processing time.
+
+    `has_region_choice` is whether it might have gone to another region.
+    """
 
     upstream: Upstream
     warmth: Warmth
     expected_ms: float
+    has_region_choice: bool = True
+
+
+class NoSelection(StrEnum):
+    """Enumerate the reasons why no upstream was selected."""
+
+    NO_FREE_SLOT = "no room"
+    NO_UPSTREAM = "no upstream"
 
 
 @dataclass(slots=True)
@@ -53,6 +64,12 @@
             self.best[region] = selection
             self.costs[region] = cost_ms
 
+    def only_selection(self) -> Selection | NoSelection:
+        """Return what to use of one region without another to choose."""
+        for region in self.regions():
+            return replace(self.best[region], has_region_choice=False)
+        return NoSelection.NO_FREE_SLOT
+
     def regions(self) -> list[str]:
         """Return the regions to use rather than wait, cheapest first."""
         selected = [
@@ -76,10 +93,3 @@
     closed: int = 0
     held_back: int = 0
     full: int = 0
-
-
-class NoSelection(StrEnum):
-    """Enumerate the reasons why no upstream was selected."""
-
-    NO_FREE_SLOT = "no room"
-    NO_UPSTREAM = "no upstream"
--- a/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
@@ -105,12 +105,15 @@
 
         Return NO_FREE_SLOT also if it should cost less to wait for a slot of
         an upstream that has the object cached. `pick_region` gets the regions
-        with free slots, cheapest first.
+        with free slots, cheapest first, unless all eligible upstreams are in
+        one region.
         """
         eligible = self._eligible_upstreams(requirements, usable)
         if not eligible:
             return NoSelection.NO_UPSTREAM
         candidates = self._evaluate(requirements, eligible, now_ms, wait_state)
+        if len({upstream.spec.region for upstream in eligible}) == 1:
+            return candidates.only_selection()
         picked = pick_region(candidates.regions(), now_ms)
         return NoSelection.NO_FREE_SLOT if picked is None else candidates.best[picked]
 
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING
 
 from bilberry_core.registry import Registry
-from bilberry_steering.region_share_limiters import ANY_REGION
 
 from ..http.head import RequestHead
 from .counts import ServiceHistograms
@@ -172,8 +171,7 @@
             inputs.placer.queue_length(service),
             service=service,
         )
-    limiter = state.region_share_limiters.for_homes(ANY_REGION)
-    for region, share in limiter.shares.items():
+    for region, share in state.region_share_limiters.unbound.shares.items():
         metrics.set_gauge(
             "bilberry_entry_region_share",
             "Part of this node's requests without home regions that goes there.",
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -248,7 +248,7 @@
         state = self.state
         requirements = request.requirements
         wait_state = self.wait_state(request, now_ms)
-        limiter = state.region_share_limiter(requirements.home_regions, now_ms)
+        limiter = state.region_shares_of(requirements.home_regions, now_ms)
         selection = state.selector.select(
             requirements,
             state.upstreams.accepts_requests,
@@ -257,7 +257,7 @@
             wait_state,
         )
         if isinstance(selection, Selection):
-            self.reserve(selection.upstream, requirements, now_ms)
+            self.reserve(selection, requirements, now_ms)
             distance = state.selector.distances.between(selection.upstream.spec)
             state.counts.record_placement(
                 selection.upstream, selection.warmth, distance
@@ -294,14 +294,16 @@
         )
 
     def reserve(
-        self, upstream: Upstream, requirements: UpstreamRequirements, now_ms: int
+        self, selection: Selection, requirements: UpstreamRequirements, now_ms: int
     ) -> None:
-        """Reserve a slot of an upstream for a request."""
+        """Reserve a slot of the selected upstream for a request."""
         state = self.state
+        upstream = selection.upstream
         upstream.in_flight += 1
         state.rate_limiter.record_sent(upstream, now_ms)
-        limiter = state.region_share_limiter(requirements.home_regions, now_ms)
-        limiter.record_sent(upstream.spec.region, now_ms)
+        if selection.has_region_choice:
+            limiter = state.region_shares_of(requirements.home_regions, now_ms)
+            limiter.record_sent(upstream.spec.region, now_ms)
         if upstream.takes_turns(now_ms):
             cold_per_s = state.pool(requirements.service).cold_requests_per_s
             state.cold_rate_limiter.schedule_next(upstream, cold_per_s, now_ms)
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -140,18 +140,14 @@
         for budget in self.retry_budgets.values():
             budget.slack = self.retry_slack()
 
-    def region_share_limiter(
+    def region_shares_of(
         self, homes: frozenset[str], now_ms: int
     ) -> RegionShareLimiter:
-        """Return the limiter of requests bound to `homes`, with its shares.
-
-        Its initial shares are set from the regions' slots, once.
-        """
-        limiter = self.region_share_limiters.for_homes(homes)
-        if not limiter.shares:
-            slots = self.region_slots()
-            self.region_share_limiters.init_shares(homes, slots, now_ms)
-        return limiter
+        """Return the limiter of requests bound to `homes`, with its shares."""
+        limiters = self.region_share_limiters
+        if limiters.needs_shares(homes, now_ms):
+            limiters.init_shares(homes, self.region_slots(), now_ms)
+        return limiters.get_or_add(homes)
 
     def region_slots(self) -> dict[str, float]:
         """Return the slots of all upstreams by region."""
--- a/packages/bilberry_steering/src/bilberry_steering/region_share_limiters.py
+++ b/packages/bilberry_steering/src/bilberry_steering/region_share_limiters.py
@@ -1,17 +1,19 @@
 """Limit how fast requests move between the regions that they may use.
 
-Requests that are bound to the same regions have the same choice, and a limiter
-of their own. If none of these groups moves more than a share of its requests,
-all together don't either. Requests bound to one region have no choice: they
-count in no limit, and leave the share of the others alone.
+Requests that are bound to the same regions have the same choice, and shares of
+their own. With several such sets each limiter has less credit, so that their
+deviations from the shares don't add up.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 
+from .const import REGION_SHARE_IDLE_MS
 from .initial_shares import initial_shares
 from .region_share_limiter import RegionShareLimiter
 
 ANY_REGION: frozenset[str] = frozenset()
+# For each of several limiters; with less, no region might have any.
+DIVIDED_CREDIT_REQUESTS = 0.9
 
 
 class RegionShareLimiters:
@@ -23,10 +25,14 @@
         self.region = region
         self.max_share = max_share
         self.relaxed_at_ms: int | None = None
-        self.by_homes: dict[frozenset[str], RegionShareLimiter] = {}
-        self.for_homes(ANY_REGION)
+        self.by_homes = {ANY_REGION: RegionShareLimiter(max_share)}
 
-    def for_homes(self, homes: frozenset[str]) -> RegionShareLimiter:
+    @property
+    def unbound(self) -> RegionShareLimiter:
+        """Return the limiter of requests without home regions."""
+        return self.by_homes[ANY_REGION]
+
+    def get_or_add(self, homes: frozenset[str]) -> RegionShareLimiter:
         """Return the limiter of requests bound to `homes`."""
         found = self.by_homes.get(homes)
         if found is None:
@@ -34,29 +40,36 @@
             if self.relaxed_at_ms is not None:
                 found.relax_limit(self.relaxed_at_ms)
             self.by_homes[homes] = found
+            for limiter in self.by_homes.values():
+                limiter.max_credit = DIVIDED_CREDIT_REQUESTS
         return found
 
+    def needs_shares(self, homes: frozenset[str], now_ms: int) -> bool:
+        """Return whether a limiter has no shares, or those of long ago."""
+        limiter = self.get_or_add(homes)
+        is_idle = now_ms - limiter.moved_at_ms > REGION_SHARE_IDLE_MS
+        return not limiter.shares or (bool(homes) and is_idle)
+
     def init_shares(
         self, homes: frozenset[str], slots: Mapping[str, float], now_ms: int
     ) -> None:
-        """Set a limiter's initial shares from the slots of each region."""
-        allowed = {name: n for name, n in slots.items() if not homes or name in homes}
-        shares = initial_shares(allowed, self.region)
-        total = sum(allowed.values())
-        if not shares and homes and total > 0:
-            shares = {name: n / total for name, n in allowed.items()}
-        self.for_homes(homes).set_initial_shares(shares, now_ms)
+        """Set shares from those of unbound requests, else from slots."""
+        if not homes:
+            shares = initial_shares(slots, self.region)
+        else:
+            shares = _scaled(self.unbound.shares, homes) or _scaled(slots, homes)
+        self.get_or_add(homes).set_initial_shares(shares, now_ms)
 
     def set_max_share(self, max_share: float) -> None:
         """Set the maximum share of requests that may move in a span."""
         self.max_share = max_share
-        for limiter in self._limiters():
+        for limiter in self.by_homes.values():
             limiter.set_max_share(max_share)
 
     def relax_limit(self, now_ms: int) -> None:
         """Suspend the limits for a while, as after losing an upstream."""
         self.relaxed_at_ms = now_ms
-        for limiter in self._limiters():
+        for limiter in self.by_homes.values():
             limiter.relax_limit(now_ms)
 
     def set_open_regions(self, regions: Collection[str]) -> None:
@@ -66,5 +79,9 @@
                 {name for name in regions if not homes or name in homes}
             )
 
-    def _limiters(self) -> Iterable[RegionShareLimiter]:
-        return self.by_homes.values()
+
+def _scaled(shares: Mapping[str, float], regions: Collection[str]) -> dict[str, float]:
+    """Return the shares of some regions, scaled to a sum of 1, or none."""
+    kept = {name: share for name, share in shares.items() if name in regions}
+    total = sum(kept.values())
+    return {n: share / total for n, share in kept.items()} if total > 0 else {}
--- a/tests/bilberry_router/entry/test_placer.py
+++ b/tests/bilberry_router/entry/test_placer.py
@@ -81,3 +81,15 @@
     assert not isinstance(placement.get(timeout=10), Selection)
     rig.placer.release(rig.upstream)
     assert rig.upstream.in_flight == 0
+
+
+def test_a_service_with_upstreams_in_another_region_only_is_served_there():
+    rig = OneSlot()
+    rig.state.upstreams.remove("u0")
+    for name, service, region in (("u1", "s", "qc"), ("u2", "other", "mtl")):
+        spec = UpstreamSpec(
+            name, service, "127.0.0.1:1", f"{region}-a", region, slots=20
+        )
+        rig.state.upstreams.put(spec, draining=False)
+    for _ in range(20):
+        assert isinstance(rig.place(rig.request()), Selection)
