--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -88,12 +88,14 @@
 class Placer:
     """Place requests, with one queue for each service."""
 
-    __slots__ = ("queues", "state", "task")
+    __slots__ = ("checked_version", "is_refusing", "queues", "state", "task")
 
     def __init__(self, state: EntryState) -> None:
         self.state = state
         self.queues: dict[str, WaitQueue[PlacementRequest]] = {}
         self.task: Greenlet | None = None
+        self.checked_version = 0
+        self.is_refusing = False
 
     def start(self) -> None:
         """Start to serve the queues at regular intervals."""
@@ -143,6 +145,8 @@
         processing_ms = request.requirements.processing_times.expected_ms(Warmth.KNOWN)
         limits = wait_limits(request, int(processing_ms))
         expected_ms = self.expected_wait_ms(request, now_ms)
+        if self.is_refusing:
+            return Refusal(max(DEFAULT_RETRY_AFTER_MS, expected_ms))
         closed_ms = self.refused_until_ms(request) - now_ms
         if closed_ms > limits.give_up_at_ms - now_ms:
             return Refusal(closed_ms)
@@ -217,22 +221,21 @@
         )
 
     def refuse_queued(self) -> None:
-        """End the wait of all queued requests without a slot."""
+        """End the wait of all queued requests, and queue no more."""
+        self.is_refusing = True
         for queue in self.queues.values():
             for entry in list(queue.entries):
                 entry.item.abandon()
 
     def start_queued(self, service: str) -> None:
         """Start queued requests that find a slot, in their order."""
+        self.release_outdated()
         queue = self.queues.get(service)
         if queue is None or not queue.entries:
             return
         now_ms = self.state.clock.now_ms()
 
         def try_start(request: PlacementRequest) -> bool:
-            if not request.is_current():
-                request.granted.set(Unplaced.OUTDATED)
-                return True
             selection = self.try_place(request, now_ms)
             if not isinstance(selection, Selection):
                 return False
@@ -241,6 +244,17 @@
 
         queue.start_next(try_start, now_ms, MAX_QUEUE_MISSES)
 
+    def release_outdated(self) -> None:
+        """End the waits whose requirements a new configuration has changed."""
+        if self.checked_version == self.state.config_version:
+            return
+        self.checked_version = self.state.config_version
+        for queue in self.queues.values():
+            for entry in list(queue.entries):
+                if not entry.item.granted.ready() and not entry.item.is_current():
+                    entry.item.granted.set(Unplaced.OUTDATED)
+                    queue.discard(entry)
+
     def try_place(
         self, request: PlacementRequest, now_ms: int
     ) -> Selection | NoSelection:
--- a/tests/bilberry_router/entry/test_changed_routes.py
+++ b/tests/bilberry_router/entry/test_changed_routes.py
@@ -4,13 +4,14 @@
 import pytest
 from gevent.event import Event
 
+from bilberry_router.entry.const import MAX_QUEUE_MISSES
 from bilberry_router.http.upstream_socket import UpstreamSocket
 
 from .common import Rig, config, eventually, route
 
 
-def bound_to(region, **fields):
-    return route("read", "/read/", home_regions=frozenset([region]), **fields)
+def bound_to(region, name="read", prefix="/read/", **fields):
+    return route(name, prefix, home_regions=frozenset([region]), **fields)
 
 
 class TwoRegions(Rig):
@@ -148,3 +149,54 @@
     rig.mtl.faults.hold.set()
     assert client.answer().status == 502
     assert len(rig.ran) == 1
+
+
+def test_more_attempts_allowed_meanwhile_are_not_made(rig):
+    rig.change(bound_to("mtl", max_attempts=1))
+    rig.mtl.faults.script = [None]
+    client = rig.send_held()
+    rig.change(bound_to("qc", max_attempts=5))
+    rig.mtl.faults.hold.set()
+    assert client.answer().status == 502
+    assert len(rig.ran) == 1
+
+
+def test_a_request_that_connects_isnt_sent_to_an_upstream_that_asks_for_a_pause(
+    rig, during_connect
+):
+    rig.change(route("read", "/read/"))
+    upstream = rig.state.upstreams.by_name["u0"]
+
+    def ask_for_pause():
+        upstream.refuses_until_ms = rig.clock.now_ms() + 5_000
+
+    during_connect(ask_for_pause)
+    assert rig.send().answer().body == b"u1 ran r1"
+    assert rig.mtl.served_requests == []
+
+
+def test_new_homes_free_a_request_behind_a_long_queue(rig):
+    rig.change(bound_to("mtl"), bound_to("mtl", name="other", prefix="/other/"))
+    first = rig.send_held()
+    ahead = [rig.send(f"a{index}") for index in range(MAX_QUEUE_MISSES + 10)]
+    eventually(lambda: rig.queued == len(ahead))
+    last = rig.client()
+    last.send("/other/x", request_id="last")
+    eventually(lambda: rig.queued == len(ahead) + 1)
+    rig.change(bound_to("mtl"), bound_to("qc", name="other", prefix="/other/"))
+    assert last.answer().body == b"u1 ran last"
+    assert rig.queued == len(ahead)
+    rig.mtl.faults.hold.set()
+    assert first.answer().status == 200
+
+
+def test_a_node_that_stops_queues_no_request_again(rig):
+    first = rig.send_held()
+    second = rig.send("r2")
+    eventually(lambda: rig.queued == 1)
+    rig.placer.refuse_queued()
+    assert second.answer().status == 503
+    assert rig.send("r3").answer().status == 503
+    assert rig.queued == 0
+    rig.mtl.faults.hold.set()
+    assert first.answer().status == 200
