Keep the smaller limit of attempts, and pauses asked for while connecting

What callers and upstreams saw: a request that came under a rule with two attempts reached five upstreams, as a new rule allowed five. A request was sent to an upstream that had asked for a pause while the connection was made.

Cause: attempts followed the newest rule only, and the check once connected left out Retry-After.

Change: a request gets as many attempts as the strictest of its rules allows. The check once connected includes the pause.

Evidence: test_more_attempts_allowed_meanwhile_are_not_made and test_a_request_that_connects_isnt_sent_to_an_upstream_that_asks_for_a_pause fail on the commit before.

--- a/packages/bilberry_router/src/bilberry_router/entry/active_request.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/active_request.py
@@ -23,10 +23,11 @@
     `first_sent_ms` and `last_sent_ms` are the times from its arrival to the
     first and the latest attempt, -1 until then. It arrived under the
     configuration `arrived_version`, and `rule` is that of `config_version`. It
-    may be repeated if it is `idempotent` by all its rules. A trial has a
-    `witness`, and avoids `trial_excluded` upstreams. `upstream_error` is an
-    upstream's answer with a server error, which is the final answer if no
-    other attempt can be made; `held_error` counts its bytes meanwhile.
+    may be repeated if it is `idempotent` by all its rules, and `max_attempts`
+    is the smallest of them. A trial has a `witness`, and avoids
+    `trial_excluded` upstreams. `upstream_error` is an upstream's answer with
+    a server error, which is the final answer if no other attempt can be made;
+    `held_error` counts its bytes meanwhile.
     """
 
     request: EntryRequest
@@ -39,6 +40,7 @@
     arrived_version: int
     config_version: int
     idempotent: bool
+    max_attempts: int
     attempts: int = 0
     first_sent_ms: int = -1
     last_sent_ms: int = -1
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -151,6 +151,7 @@
             self.state.config_version,
             self.state.config_version,
             rule.idempotent,
+            rule.max_attempts,
         )
         self.state.retry_budget(active.service).on_request(request.arrived_ms)
         return active
@@ -241,6 +242,8 @@
             return False
         if not self.route_updates.is_current(active):
             return False
+        if self.state.clock.now_ms() < upstream.refuses_until_ms:
+            return False
         return self.state.upstreams.accepts_requests(upstream)
 
     def ends_too_late(self, selection: Selection) -> bool:
--- a/packages/bilberry_router/src/bilberry_router/entry/retry_decisions.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/retry_decisions.py
@@ -59,4 +59,4 @@
 
 def _has_attempts_left(active: ActiveRequest) -> bool:
     """Return whether the route allows another attempt."""
-    return active.attempts < active.rule.max_attempts
+    return active.attempts < active.max_attempts
--- a/packages/bilberry_router/src/bilberry_router/entry/route_updates.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/route_updates.py
@@ -35,7 +35,7 @@
     def apply(self, active: ActiveRequest) -> None:
         """Apply the newest configuration's rule to a request in progress.
 
-        A request that must not be repeated by either rule isn't repeated.
+        It may be repeated only as far as each of its rules allows.
         """
         version = self.state.config_version
         if active.config_version == version:
@@ -48,6 +48,7 @@
         runs_alike = _runs_alike(active, entry.rule)
         active.rule = entry.rule
         active.idempotent = active.idempotent and entry.rule.idempotent
+        active.max_attempts = min(active.max_attempts, entry.rule.max_attempts)
         if not _has_service(entry.rule, active.service):
             active.service = entry.next_service()
         if not runs_alike:
