Let requests with other homes pass those that find no slot

What callers saw: behind 30 queued requests for a full region, one bound to a free region wasn't tried, so that it waited until those ahead gave up.

Cause: start_next stopped after 30 misses, whatever regions they were for.

Change: misses are counted by home regions.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/queue.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/queue.py
@@ -4,7 +4,8 @@
 before those that can't, so that overload delays only some of them.
 """
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -16,7 +17,8 @@
     """Represent one queued request; times in monotonic ms.
 
     A request that starts by `in_time_until_ms` still meets its objective; it
-    leaves the queue at `give_up_at_ms`.
+    leaves the queue at `give_up_at_ms`. Where one finds no slot, those of
+    another `group` may find one.
     """
 
     item: T
@@ -24,6 +26,7 @@
     in_time_until_ms: int
     give_up_at_ms: int
     sequence: int = 0
+    group: Hashable = None
 
 
 @dataclass(slots=True)
@@ -57,17 +60,18 @@
     ) -> int:
         """Start requests in order; return how many were accepted.
 
-        Stop after `max_misses` requests that were not accepted.
+        Try no more of a group after `max_misses` that were not accepted.
         """
         started = 0
+        misses: Counter[Hashable] = Counter()
         for entry in self.in_order(now_ms):
+            if misses[entry.group] >= max_misses:
+                continue
             if try_start(entry.item):
                 self.entries.remove(entry)
                 started += 1
-                continue
-            max_misses -= 1
-            if max_misses <= 0:
-                break
+            else:
+                misses[entry.group] += 1
         return started
 
 
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -154,7 +154,11 @@
         if refusal is not None and not self.has_free_slot(request.requirements, now_ms):
             return refusal
         entry = QueueEntry(
-            request, request.priority, limits.in_time_until_ms, limits.give_up_at_ms
+            request,
+            request.priority,
+            limits.in_time_until_ms,
+            limits.give_up_at_ms,
+            group=request.requirements.home_regions,
         )
         queue.push(entry)
         self.start_queued(request.requirements.service)
--- a/tests/bilberry_router/entry/test_changed_routes.py
+++ b/tests/bilberry_router/entry/test_changed_routes.py
@@ -176,16 +176,18 @@
 
 
 def test_new_homes_free_a_request_behind_a_long_queue(rig):
-    rig.change(bound_to("mtl"), bound_to("mtl", name="other", prefix="/other/"))
+    other = {"name": "other", "prefix": "/other/", "priority": 1}
+    rig.change(bound_to("mtl"), bound_to("mtl", **other))
     first = rig.send_held()
     ahead = [rig.send(f"a{index}") for index in range(MAX_QUEUE_MISSES + 10)]
     eventually(lambda: rig.queued == len(ahead))
     last = rig.client()
     last.send("/other/x", request_id="last")
     eventually(lambda: rig.queued == len(ahead) + 1)
-    rig.change(bound_to("mtl"), bound_to("qc", name="other", prefix="/other/"))
-    assert last.answer().body == b"u1 ran last"
+    rig.change(bound_to("mtl"), bound_to("qc", **other))
+    eventually(lambda: rig.qc.served_requests)
     assert rig.queued == len(ahead)
+    assert last.answer().body == b"u1 ran last"
     rig.mtl.faults.hold.set()
     assert first.answer().status == 200
 
