Read what drains too after a standstill, and count short ones together

What callers and upstreams saw, each in a test on: an upstream that began to drain during a standstill still got a request; a node that ran a little every 0.9 s never read again; a request with 300 ms left was held until it ended, while the store was silent.

Cause: only configuration and evacuations were read again, only a standstill of 1 s counted, and the wait went by nothing that the request says.

Its route is looked up after the wait.

--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -110,8 +110,7 @@
         if self.state.routes.config is None:
             answer = refusal_answer("no configuration yet", NO_CONFIG_RETRY_MS)
             return self.count_answer(request, answer)
-        self.wait_for_rereads()
-        entry = self.route_updates.find(request.head)
+        entry = self.find_route(request.head)
         if entry is None:
             return self.count_answer(
                 request, local_answer(HTTPStatus.NOT_FOUND, "no route")
@@ -127,6 +126,17 @@
         self.request_log.record_end(active, answer, took_ms)
         return self.count_answer(request, answer, active.service)
 
+    def find_route(self, head: RequestHead) -> RouteEntry | None:
+        """Return the route of a new request, after a reread if needed."""
+        entry = self.route_updates.find(head)
+        if self.rereads is None or not self.rereads.is_needed():
+            return entry
+        limit_ms = MAX_FORWARDED_TIMEOUT_MS
+        if entry is not None:
+            limit_ms = self.timeout_ms(head, entry.rule)
+        self.rereads.wait(limit_ms)
+        return self.route_updates.find(head)
+
     def count_answer(
         self, request: EntryRequest, answer: EntryAnswer, service: str = NO_SERVICE
     ) -> EntryAnswer:
@@ -223,14 +233,10 @@
             if not isinstance(placed, Unplaced):
                 return placed
 
-    def wait_for_rereads(self) -> None:
-        """Wait until the node knows what changed while it stood still."""
-        if self.rereads is not None:
-            self.rereads.wait()
-
     def current_placement(self, active: ActiveRequest) -> PlacementRequest:
         """Return a placement request that follows the newest configuration."""
-        self.wait_for_rereads()
+        if self.rereads is not None:
+            self.rereads.wait(active.remaining_ms(self.state.clock.now_ms()))
         self.route_updates.apply(active)
         return placement_request(
             active, self.state, lambda: self.route_updates.is_current(active)
@@ -238,7 +244,7 @@
 
     def may_send(self, active: ActiveRequest, upstream: Upstream) -> bool:
         """Return whether an upstream that was selected may still get it."""
-        if self.rereads is not None and self.rereads.is_needed():
+        if self.rereads is not None and self.rereads.is_due():
             return False
         if not self.route_updates.is_current(active):
             return False
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -263,8 +263,9 @@
         ]
 
     def _rereads(self) -> Rereads:
-        kinds = (self.platform.kinds.config, self.platform.kinds.evacuations)
-        feeds = [feed for feed in self.feeds if feed.kind in kinds]
+        kinds = self.platform.kinds
+        read_again = (kinds.config, kinds.evacuations, kinds.upstreams)
+        feeds = [feed for feed in self.feeds if feed.kind in read_again]
         return Rereads(self.standstills, feeds, self.clock)
 
     def _auxiliary_listeners(self, addresses: NodeAddresses) -> list[Listener]:
--- a/packages/bilberry_router/src/bilberry_router/entry/rereads.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/rereads.py
@@ -9,10 +9,14 @@
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_fleet.discovery.feed import Feed
 
-from .standstills import MIN_REREAD_MS, StandstillMonitor
+from .standstills import StandstillMonitor
 
+# After standing still for so long, what the node knows may be outdated.
+MIN_STANDSTILL_MS = 1_000
 # Then requests go on by what is known.
 MAX_REREAD_MS = 500
+# Of the time that a request has left.
+MAX_WAIT_FRACTION = 1 / 3
 
 
 class Rereads:
@@ -40,25 +44,32 @@
 
     def record_wake(self) -> None:
         """Record that the node runs; read again if it stood still for long."""
-        if self.monitor.record_wake() >= MIN_REREAD_MS and not self.is_reading():
+        self.monitor.record_wake()
+        if self.is_due() and not self.is_reading():
+            self.monitor.forget_recent()
             self.task = gevent.spawn(self.read)
 
     def is_needed(self) -> bool:
         """Return whether a request has to wait."""
-        return self.is_reading() or self.monitor.late_ms() >= MIN_REREAD_MS
+        return self.is_reading() or self.is_due()
+
+    def is_due(self) -> bool:
+        """Return whether the node stood still for long since the last read."""
+        return self.monitor.recent_standstill_ms() >= MIN_STANDSTILL_MS
 
     def is_reading(self) -> bool:
         """Return whether the kinds are being read."""
         return self.task is not None and not self.task.ready()
 
-    def wait(self) -> None:
-        """Wait until nothing has to be read, for a limited time."""
+    def wait(self, remaining_ms: int) -> None:
+        """Wait until nothing has to be read, for a part of the time left."""
         if not self.is_needed():
             return
         if not self.is_reading():
             self.record_wake()
+        limit_ms = min(MAX_REREAD_MS, remaining_ms * MAX_WAIT_FRACTION)
         if self.task is not None:
-            self.task.join(timeout=MAX_REREAD_MS / MS_PER_SECOND)
+            self.task.join(timeout=limit_ms / MS_PER_SECOND)
 
     def read(self) -> None:
         """Read what changed, exactly, unless the store fails."""
