Bound the memory of request bodies, and send them without a copy

Cause: CallerConnection.read_request read each whole body before anything was placed, encode_request joined a second copy to the head, and both were kept until the answer. Nothing bounded all bodies together, as AnswerMemory does for answers.

Change: - Attempt keeps head and body apart; a body over 64 KiB is sent by itself. - RequestMemory counts all bodies of a node, from the announced length (in chunks: from the bytes read) until the final answer of the handler. Its bound is limits.memory_mb of the settings, 200 if it isn't there, less 64 MB for the process and the 64 MB of MAX_HELD_BYTES: 72 MB of 200, 172 MB of 300. So the largest allowed body, 67.1 MB, fits a node of 200 MB. 4 MB of it are for bodies of up to 64 kB only. - A body that doesn't fit gets 503, Retry-After and Connection: close before it is read, or before 100 Continue; one in chunks once its next part doesn't fit. It is not handed to the forwarder, so it hasn't run. What still arrives is discarded for 2 s at most, so that no reset cuts the refusal. - A long body may take 10 s if others were refused meanwhile, then it gets the same refusal; with no refusals the rate of 1,000 B/s holds as before. - Metrics bilberry_request_body_bytes and bilberry_refused_bodies_total.

--- a/packages/bilberry_balance/src/bilberry_balance/suspects.py
+++ b/packages/bilberry_balance/src/bilberry_balance/suspects.py
@@ -149,7 +149,7 @@
         return SuspectReport(fingerprint, crashes, self.expires_ms - now_ms)
 
 
-def request_fingerprint(method: str, path: str, body: bytes) -> str:
+def request_fingerprint(method: str, path: str, body: bytes | bytearray) -> str:
     """Return a digest that is the same for identical requests."""
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     for part in (method.encode(), path.encode()):
--- a/packages/bilberry_router/src/bilberry_router/entry/attempt.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/attempt.py
@@ -30,15 +30,17 @@
 class Attempt:
     """Represent one attempt to send a request; times in monotonic ms.
 
-    With an `arrival`, the deadline is that of the first bytes of the answer.
+    `head` and `body` are kept apart, as a joined copy would take memory. With
+    an `arrival`, the deadline is that of the first bytes of the answer.
     `may_send` is asked once connected, as a connect may take its time.
     """
 
     method: str
-    data: bytes
+    head: bytes
     request_id: str
     deadline_ms: int
     idempotent: bool
+    body: bytes | bytearray = b""
     needs_new_connection: bool = False
     arrival: Arrival | None = None
     may_send: Callable[[], bool] | None = None
@@ -46,6 +48,11 @@
     sent: bool = False
     connection: UpstreamSocket | None = None
 
+    @property
+    def byte_count(self) -> int:
+        """Return the size of the request, head included."""
+        return len(self.head) + len(self.body)
+
     @property
     def is_too_large(self) -> bool:
         """Return whether the rest of the answer isn't wanted."""
--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -11,6 +11,7 @@
 import gevent
 from gevent.event import Event
 
+from bilberry_balance.placement.admission import spread_retry_after_ms
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.outcome import Failure
@@ -28,13 +29,18 @@
 from ..http.head import RequestError, RequestHead, parse_head
 from ..http.receive import ReadTimeoutError
 from .answer_memory import AnswerMemory, HeldAnswer
+from .answers import refusal_answer
 from .const import (
     BODY_TIMEOUT_MS,
     CLOSE_LINGER_MS,
     MAX_PIPELINED,
+    REFUSED_BODY_LINGER_MS,
+    REFUSED_BODY_RETRY_MS,
     WRITE_TIMEOUT_MS,
 )
 from .messages import EntryAnswer, EntryRequest, local_answer
+from .request_body import read_body, unread_bytes
+from .request_memory import HeldBody, RequestMemory
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -57,6 +63,7 @@
 
     request: EntryRequest
     held: HeldAnswer
+    held_body: HeldBody
     answer: EntryAnswer | None = None
 
 
@@ -76,6 +83,8 @@
         "is_writing",
         "limits",
         "pending",
+        "refused_body_bytes",
+        "request_memory",
     )
 
     def __init__(
@@ -85,12 +94,15 @@
         limits: Callable[[], CallerLimits],
         clock: Clock,
         answer_memory: AnswerMemory,
+        request_memory: RequestMemory,
     ) -> None:
         self.connection = Connection(sock, clock)
         self.handler = handler
         self.limits = limits
         self.clock = clock
         self.answer_memory = answer_memory
+        self.request_memory = request_memory
+        self.refused_body_bytes = 0
         self.pending: deque[Exchange] = deque()
         self.answer_ready = Event()
         self.is_reading = False
@@ -143,10 +155,16 @@
             self.wait_for_answers(0)
             if self.is_closing:
                 return False
-        request = self.read_request(parsed)
+        held_body = HeldBody(self.request_memory)
+        request = None
+        try:
+            request = self.read_request(parsed, held_body)
+        finally:
+            if request is None:
+                held_body.release()
         if request is None:
             return False
-        exchange = Exchange(request, HeldAnswer(self.answer_memory))
+        exchange = Exchange(request, HeldAnswer(self.answer_memory), held_body)
         self.pending.append(exchange)
         self.is_reading = False
         self.has_served = True
@@ -195,25 +213,30 @@
             self.connection.buffer.clear()
         return not self.is_closing
 
-    def read_request(self, head: RequestHead) -> EntryRequest | None:
+    def read_request(self, head: RequestHead, held: HeldBody) -> EntryRequest | None:
         """Return the request with its whole body, or None if refused."""
+        if not head.chunked and not head.content_length:
+            return EntryRequest(head, b"", self.clock.now_ms())
         limits = self.limits()
-        body = b""
-        if head.chunked or head.content_length:
-            if (head.content_length or 0) > limits.max_body_bytes:
-                self.reject(_body_too_large(limits))
-                return None
-            reader = BodyReader(
-                self.connection,
-                head,
-                limit_bytes=limits.max_body_bytes,
-                timeout_ms=BODY_TIMEOUT_MS,
-            )
-            try:
-                body = reader.read()
-            except BodyError as error:
-                self.reject(RequestError(error.status, error.reason))
-                return None
+        if (head.content_length or 0) > limits.max_body_bytes:
+            self.reject(_body_too_large(limits))
+            return None
+        reader = BodyReader(
+            self.connection,
+            head,
+            limit_bytes=limits.max_body_bytes,
+            timeout_ms=BODY_TIMEOUT_MS,
+        )
+        try:
+            body = read_body(reader, held)
+        except BodyError as error:
+            held.release()
+            self.reject(RequestError(error.status, error.reason))
+            return None
+        if body is None:
+            held.release()
+            self.refuse_body(head, unread_bytes(reader))
+            return None
         return EntryRequest(head, body, self.clock.now_ms())
 
     def answer(self, exchange: Exchange) -> None:
@@ -223,6 +246,9 @@
         except Exception:
             _LOGGER.exception("entry: Error while handling a request.")
             exchange.answer = local_answer(HTTPStatus.BAD_GATEWAY, "internal error")
+        finally:
+            exchange.request.body = b""
+            exchange.held_body.release()
         exchange.held.add(len(exchange.answer.body))
         self.write_ready_answers()
 
@@ -304,19 +330,40 @@
 
     def reject(self, error: RequestError) -> None:
         """Answer an invalid request with an error and close."""
+        self.answer_unread(local_answer(error.status, error.reason))
+
+    def refuse_body(self, head: RequestHead, unread_bytes: int) -> None:
+        """Refuse a request whose body can't be held, and close.
+
+        Up to `unread_bytes` are then discarded, as a caller may send all of
+        its body before it reads the refusal.
+        """
+        self.request_memory.refused_count += 1
+        self.refused_body_bytes = unread_bytes
+        # The headers tell requests apart, also without the name of their id.
+        retry_after_ms = spread_retry_after_ms(REFUSED_BODY_RETRY_MS, str(head.headers))
+        self.answer_unread(refusal_answer("no memory for the body", retry_after_ms))
+        self.is_reading = False
+
+    def answer_unread(self, answer: EntryAnswer) -> None:
+        """Answer a request that wasn't read whole, and close."""
         self.wait_for_answers(0)
         if self.is_closing:
             return
         head = RequestHead("GET", "/", 1, [], keep_alive=False)
         request = EntryRequest(head, b"", self.clock.now_ms())
-        answer = local_answer(error.status, error.reason)
         held = HeldAnswer(self.answer_memory)
-        self.pending.append(Exchange(request, held, answer))
+        held_body = HeldBody(self.request_memory)
+        self.pending.append(Exchange(request, held, held_body, answer))
         self.write_ready_answers()
 
     def close_gracefully(self) -> None:
         """Close gracefully, so that a reset can't cut the last answer."""
-        if not self.connection.is_aborted:
+        if self.connection.is_aborted:
+            return
+        if self.refused_body_bytes > 0:
+            self.connection.linger(REFUSED_BODY_LINGER_MS, self.refused_body_bytes)
+        else:
             self.connection.linger(CLOSE_LINGER_MS)
 
     def notify_requests(self) -> None:
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -7,6 +7,7 @@
 from bilberry_core.clock import Clock
 from bilberry_core.const import MS_PER_SECOND
 
+from ..http.const import MAX_JOINED_WRITE_BYTES
 from ..http.receive import ReadTimeoutError, is_own_timeout
 from ..http.response_parser import ResponseParser
 from ..http.upstream_socket import IdleState, UpstreamSocket
@@ -120,7 +121,7 @@
         connection.set_timeout(remaining_ms)
         attempt.sent = True
         try:
-            connection.sock.sendall(attempt.data)
+            self._send_request(connection, attempt)
         except OSError as error:
             if is_own_timeout(error):
                 return ExchangeOutcome(FailurePoint.DEADLINE_AFTER_SEND, parser)
@@ -128,6 +129,14 @@
             return self._receive(connection, attempt, parser, fully_sent=False)
         return self._receive(connection, attempt, parser, fully_sent=True)
 
+    def _send_request(self, connection: PooledConnection, attempt: Attempt) -> None:
+        if len(attempt.body) <= MAX_JOINED_WRITE_BYTES:
+            connection.sock.sendall(attempt.head + attempt.body)
+            return
+        connection.sock.sendall(attempt.head)
+        connection.set_timeout(attempt.deadline_ms - self.clock.now_ms())
+        connection.sock.sendall(attempt.body)
+
     def _receive(
         self,
         connection: PooledConnection,
--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -21,6 +21,15 @@
 # Beyond it no answer is received.
 MAX_HELD_BYTES = 64_000_000
 SMALL_ANSWER_BYTES = 256_000
+# Of the process without the bodies of requests and answers.
+MAX_PROCESS_BYTES = 64_000_000
+# Of the process, if its settings don't tell.
+DEFAULT_MEMORY_BYTES = 200_000_000
+SMALL_BODY_BYTES = 64_000
+# Of the memory for bodies of requests, only for small ones.
+SMALL_BODIES_BYTES = 4_000_000
+REFUSED_BODY_RETRY_MS = 500
+REFUSED_BODY_LINGER_MS = 2_000
 MAX_FORWARDED_TIMEOUT_MS = 600_000
 
 # One in this many requests answered in time is logged.
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -36,7 +36,7 @@
     NO_SERVICE,
 )
 from .crash_evidence import CrashEvidence
-from .heads import encode_request
+from .heads import encode_request_head
 from .messages import EntryAnswer, EntryRequest, HeaderNames, local_answer
 from .placer import PlacementRequest, Placer, Unplaced
 from .rate_limit_log import RateLimitLog
@@ -249,12 +249,13 @@
         report_age_ms = upstream.report_age_ms(now_ms)
         attempt = Attempt(
             active.request.head.method,
-            encode_request(
+            encode_request_head(
                 active.request, upstream, active.remaining_ms(now_ms), self.header_names
             ),
             active.request_id,
             active.deadline_ms,
             active.idempotent,
+            active.request.body,
             needs_new_connection=active.witness is not None,
             may_send=lambda: self.may_send(active, upstream),
         )
@@ -317,7 +318,7 @@
         if attempt.sent:
             active.attempts += 1
             distance = self.state.selector.distances.between(selection.upstream.spec)
-            counts.record_traffic(len(attempt.data), outcome.received_bytes, distance)
+            counts.record_traffic(attempt.byte_count, outcome.received_bytes, distance)
         processing_times = self.state.processing_times(active.rule, active.service)
         self.outcome_recorder.record(selection, outcome, processing_times, sent_at_ms)
 
--- a/packages/bilberry_router/src/bilberry_router/entry/heads.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/heads.py
@@ -13,13 +13,13 @@
 _REPLACED = frozenset({HEADER_CONTENT_LENGTH})
 
 
-def encode_request(
+def encode_request_head(
     request: EntryRequest,
     upstream: Upstream,
     remaining_ms: int,
     header_names: HeaderNames,
 ) -> bytes:
-    """Return the encoded request for `upstream`, with its body."""
+    """Return the encoded head of the request for `upstream`."""
     head = request.head
     replaced = _REPLACED | {
         header_names.timeout.lower(),
@@ -32,7 +32,7 @@
     lines.append(f"{header_names.expected_upstream}: {upstream.name}")
     if request.body or _has_body(head):
         lines.append(f"Content-Length: {len(request.body)}")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + request.body
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
 
 def answer_headers(headers: Headers) -> Headers:
--- a/packages/bilberry_router/src/bilberry_router/entry/listener.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/listener.py
@@ -17,6 +17,7 @@
 from .answer_memory import AnswerMemory
 from .caller import CallerConnection, Handler
 from .const import DRAIN_POLL_MS, MAX_CONNECTIONS
+from .request_memory import RequestMemory
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -33,6 +34,7 @@
         "draining",
         "handler",
         "limits",
+        "request_memory",
         "server",
     )
 
@@ -43,8 +45,10 @@
         limits: Callable[[], CallerLimits],
         clock: Clock,
         answer_memory: AnswerMemory | None = None,
+        request_memory: RequestMemory | None = None,
     ) -> None:
         self.answer_memory = answer_memory or AnswerMemory()
+        self.request_memory = request_memory or RequestMemory()
         self.handler = handler
         self.limits = limits
         self.clock = clock
@@ -87,6 +91,7 @@
             self.limits,
             self.clock,
             self.answer_memory,
+            self.request_memory,
         )
         connection.is_draining = self.draining
         self.connections.add(connection)
--- a/packages/bilberry_router/src/bilberry_router/entry/messages.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/messages.py
@@ -37,7 +37,7 @@
     """Represent a caller's complete request; `arrived_ms` is monotonic."""
 
     head: RequestHead
-    body: bytes
+    body: bytes | bytearray
     arrived_ms: int
     caller_gone: bool = False
     on_caller_gone: Callable[[], None] | None = None
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -248,6 +248,17 @@
         "Connections of callers.",
         len(inputs.entry_listener.connections),
     )
+    request_memory = inputs.entry_listener.request_memory
+    metrics.set_gauge(
+        "bilberry_request_body_bytes",
+        "Memory that bodies of requests in progress take.",
+        request_memory.held_bytes,
+    )
+    metrics.set_counter(
+        "bilberry_refused_bodies_total",
+        "Requests refused as there was no memory for their bodies.",
+        request_memory.refused_count,
+    )
     metrics.set_counter(
         "bilberry_standstills_total",
         "Times that this node ran nothing for half a second or more.",
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -208,6 +208,10 @@
             for feed in self.feeds:
                 feed.catch_up_if_behind(now_ms)
 
+    def set_memory_limit(self, memory_bytes: int) -> None:
+        """Set the memory that this process may use."""
+        self.entry_listener.request_memory.set_limit(memory_bytes)
+
     def install(self, config: RoutingConfig) -> bool:
         """Install a configuration if it is newer; return whether it was."""
         installed = self.state.install(config)
@@ -274,7 +278,13 @@
             (addresses.metrics, MetricsHandler(metric_inputs)),
         ]
         return [
-            Listener(address, handler, CallerLimits, self.clock)
+            Listener(
+                address,
+                handler,
+                CallerLimits,
+                self.clock,
+                request_memory=self.entry_listener.request_memory,
+            )
             for address, handler in handlers
             if address
         ]
--- a/packages/bilberry_router/src/bilberry_router/http/connection.py
+++ b/packages/bilberry_router/src/bilberry_router/http/connection.py
@@ -106,7 +106,7 @@
         except OSError:
             return
 
-    def linger(self, limit_ms: int) -> None:
+    def linger(self, limit_ms: int, limit_bytes: int = MAX_LINGER_BYTES) -> None:
         """Shut down writing, then discard input for `limit_ms` at most.
 
         Closing a socket with unread input sends a reset, which could
@@ -114,14 +114,14 @@
         """
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            self._discard(limit_ms)
+            self._discard(limit_ms, limit_bytes)
         except OSError:
             return
 
-    def _discard(self, limit_ms: int) -> None:
+    def _discard(self, limit_ms: int, limit_bytes: int) -> None:
         end_ms = self.clock.now_ms() + limit_ms
         discarded_bytes = 0
-        while discarded_bytes < MAX_LINGER_BYTES:
+        while discarded_bytes < limit_bytes:
             remaining_ms = end_ms - self.clock.now_ms()
             if remaining_ms <= 0:
                 return
--- a/packages/bilberry_testing/src/bilberry_testing/machines/store.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/store.py
@@ -143,7 +143,9 @@
             return EntryAnswer(HTTPStatus.OK if found else HTTPStatus.NOT_FOUND)
         return self._write(method, kind, name, request.body)
 
-    def _write(self, method: str, kind: str, name: str, body: bytes) -> EntryAnswer:
+    def _write(
+        self, method: str, kind: str, name: str, body: bytes | bytearray
+    ) -> EntryAnswer:
         message_body = msgspec.json.decode(body)
         metadata = message_body["metadata"]
         if method == "POST":
--- a/tests/bilberry_platform/test_decoding.py
+++ b/tests/bilberry_platform/test_decoding.py
@@ -8,6 +8,7 @@
 from bilberry_platform.directory import decode_query, encode_addresses
 from bilberry_platform.entries import decode_node, make_upstream_decoder
 from bilberry_platform.settings import load_settings
+from bilberry_router.entry.const import DEFAULT_MEMORY_BYTES
 from bilberry_testing.machines.objects import (
     config_spec,
     route_spec,
@@ -156,6 +157,14 @@
     assert "(file)" in str(load_settings(path).failure())
 
 
+def test_settings_tell_the_memory_of_the_process(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    assert load_settings(path).unwrap().memory_bytes == DEFAULT_MEMORY_BYTES
+    path.write_text(SETTINGS + "[limits]\nmemory_mb = 300\ncores = 1\n")
+    assert load_settings(path).unwrap().memory_bytes == 300_000_000
+
+
 def test_directory_queries_and_answers():
     query = decode_query("name=shop.example&region=mtl&zone=mtl-a")
     assert (query.failure_domain, query.region) == ("mtl-a", "mtl")
