Tell an upstream the time that is left once it is connected

What upstreams saw: a request with 1,000 ms told them so, though the connect had taken 400 of them. A node that gets little processor time tells more than half a second too much.

Cause: the head was encoded before the connect. The line of a request's end took the same moment for the time at which it was sent.

Change: the head is made, and the time recorded, once connected.

--- a/packages/bilberry_router/src/bilberry_router/entry/attempt.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/attempt.py
@@ -31,8 +31,9 @@
     """Represent one attempt to send a request; times in monotonic ms.
 
     `head` and `body` are kept apart, as a joined copy would take memory. With
-    an `arrival`, the deadline is that of the first bytes of the answer.
-    `may_send` is asked once connected, as a connect may take its time.
+    an `arrival`, the deadline is that of the first bytes of the answer. As a
+    connect may take its time, `may_send` is asked once connected, and
+    `make_head` then returns the head.
     """
 
     method: str
@@ -44,6 +45,7 @@
     needs_new_connection: bool = False
     arrival: Arrival | None = None
     may_send: Callable[[], bool] | None = None
+    make_head: Callable[[], bytes] | None = None
     cancelled: bool = False
     sent: bool = False
     connection: UpstreamSocket | None = None
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -118,6 +118,8 @@
         remaining_ms = attempt.deadline_ms - self.clock.now_ms()
         if remaining_ms <= 0:
             return ExchangeOutcome(FailurePoint.DEADLINE_IN_QUEUE)
+        if attempt.make_head is not None:
+            attempt.head = attempt.make_head()
         connection.set_timeout(remaining_ms)
         attempt.sent = True
         try:
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -252,6 +252,16 @@
             return False
         return self.state.upstreams.accepts_requests(upstream)
 
+    def begin_sending(self, active: ActiveRequest, upstream: Upstream) -> bytes:
+        """Record that a request is sent now; return its head."""
+        now_ms = self.state.clock.now_ms()
+        active.last_sent_ms = now_ms - active.request.arrived_ms
+        if active.first_sent_ms < 0:
+            active.first_sent_ms = active.last_sent_ms
+        return encode_request_head(
+            active.request, upstream, active.remaining_ms(now_ms), self.header_names
+        )
+
     def ends_too_late(self, selection: Selection) -> bool:
         """Return whether the node stops before an answer is expected."""
         if self.stop_at_ms is None:
@@ -266,19 +276,15 @@
         report_age_ms = upstream.report_age_ms(now_ms)
         attempt = Attempt(
             active.request.head.method,
-            encode_request_head(
-                active.request, upstream, active.remaining_ms(now_ms), self.header_names
-            ),
+            b"",
             active.request_id,
             active.deadline_ms,
             active.idempotent,
             active.request.body,
             needs_new_connection=active.witness is not None,
             may_send=lambda: self.may_send(active, upstream),
+            make_head=lambda: self.begin_sending(active, upstream),
         )
-        active.last_sent_ms = now_ms - active.request.arrived_ms
-        if active.first_sent_ms < 0:
-            active.first_sent_ms = active.last_sent_ms
         self.rate_limit_log.record_attempt(upstream, is_retry=active.attempts > 0)
         active.request.on_caller_gone = attempt.cancel
         outcome = self.run_attempt(active, selection, attempt, now_ms)
--- a/tests/bilberry_router/entry/test_changed_routes.py
+++ b/tests/bilberry_router/entry/test_changed_routes.py
@@ -7,7 +7,7 @@
 from bilberry_router.entry.const import MAX_QUEUE_MISSES
 from bilberry_router.http.upstream_socket import UpstreamSocket
 
-from .common import Rig, config, eventually, route
+from .common import NAMES, Rig, config, eventually, route
 
 
 def bound_to(region, name="read", prefix="/read/", **fields):
@@ -175,6 +175,13 @@
     assert rig.mtl.served_requests == []
 
 
+def test_the_time_that_a_connect_takes_is_not_forwarded(rig, during_connect):
+    during_connect(lambda: gevent.sleep(0.4))
+    answer = rig.send(headers=(f"{NAMES.timeout}: 1000",)).answer()
+    assert answer.status == 200
+    assert 0 < rig.mtl.served_requests[0].timeout_ms <= 600
+
+
 def test_new_homes_free_a_request_behind_a_long_queue(rig):
     other = {"name": "other", "prefix": "/other/", "priority": 1}
     rig.change(bound_to("mtl"), bound_to("mtl", **other))
