Soak routes with homes that swap, and attempts that break off late

No soak could see it: no route had homes, no first attempt broke off late, and the check of configurations goes by when a call was sent.

Change: two routes are bound to one region each and swap homes with each version; they have 9 s. The history records the homes of each version, and in which region and how long an upstream takes requests. The check "homes" goes by when a run began: later than CONFIG_LIMIT_MS after a version moved its home, or in a region that never was one, it is a broken promise. The fault "late-breaks" lets all upstreams hold half of the bound requests for 5 s and then reset the connection. It is recorded as planned, so that no check is blind beside it.

A call answered 503 doesn't count in "recovery" if the region to which it is bound has no upstream that takes requests without a rate limit: it can go nowhere else. All other calls and answers count as before, and the least number of calls is taken of those that count.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,17 +12,24 @@
 from bilberry_platform.const import HEADER_NAMES, PATH_DIRECTORY
 from bilberry_testing.client import CALL_ERRORS, call
 
-from .deployment import DIRECTORY_PORT, ZONES, Deployment
+from .deployment import (
+    DIRECTORY_PORT,
+    HOME_PATHS,
+    HOME_TIMEOUT_MS,
+    ZONES,
+    Deployment,
+)
 from .history import Call
 
 HOST_NAME = "shop.example"
-ANSWER_TIMEOUT_MS = 6_000
 DIRECTORY_TIMEOUT_MS = 1_000
 MAX_CALLS_PER_CONNECTION = 6
 MAX_PAUSE_MS = 120
 TIMEOUT_MS = 2_000
+# How much longer than its own limit a caller waits for an answer.
+ANSWER_SLACK_MS = 4_000
 KEYS = 12
-BOOK_FRACTION, CONFIG_FRACTION = 0.3, 0.15
+BOOK_FRACTION, CONFIG_FRACTION, HOME_FRACTION = 0.3, 0.15, 0.2
 
 
 class ConnectionEndedError(Exception):
@@ -48,7 +55,6 @@
         self.sock: Any = gevent_socket.create_connection(
             split_address(address), timeout_s
         )
-        self.sock.settimeout(ANSWER_TIMEOUT_MS / MS_PER_SECOND)
         self.buffer = b""
 
     def close(self) -> None:
@@ -57,11 +63,12 @@
 
     def send(self, made: Call, key: str) -> None:
         """Send a request."""
+        self.sock.settimeout((made.timeout_ms + ANSWER_SLACK_MS) / MS_PER_SECOND)
         lines = [
             f"{made.method} {made.target} HTTP/1.1",
             f"Host: {HOST_NAME}",
             f"{HEADER_NAMES.request_id}: {made.request_id}",
-            f"{HEADER_NAMES.timeout}: {TIMEOUT_MS}",
+            f"{HEADER_NAMES.timeout}: {made.timeout_ms}",
             f"{HEADER_NAMES.affinity}: {key}",
             "Content-Length: 0",
         ]
@@ -162,18 +169,22 @@
     def make_call(self, node: str) -> Call:
         """Return a new request, recorded before it is sent."""
         self.count += 1
-        method, target = "GET", "/read/x"
+        method, target, timeout_ms = "GET", "/read/x", TIMEOUT_MS
         drawn = self.rng.random()
         if drawn < BOOK_FRACTION:
             method, target = "POST", "/book/x"
         elif drawn < BOOK_FRACTION + CONFIG_FRACTION:
             target = f"{self.deployment.history.versions[-1].prefix}x"
+        elif drawn < BOOK_FRACTION + CONFIG_FRACTION + HOME_FRACTION:
+            target = f"{self.rng.choice(HOME_PATHS)}x"
+            timeout_ms = HOME_TIMEOUT_MS
         made = Call(
             f"{self.name}-{self.count}",
             method,
             target,
             node,
             self.deployment.clock.now_ms(),
+            timeout_ms=timeout_ms,
         )
         self.deployment.history.calls.append(made)
         return made
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -181,6 +181,31 @@
     return broken
 
 
+@CHECKS.register("homes")
+def check_homes(history: History) -> list[str]:
+    """Return runs outside the home of their path, by when they began.
+
+    A home that a version moved is still allowed until the limit.
+    """
+    broken = []
+    for run in history.runs:
+        homes = history.homes(run.target, run.began_ms - CONFIG_LIMIT_MS, run.began_ms)
+        region = history.upstream_times[run.upstream].region if homes else ""
+        if region in homes or not homes:
+            continue
+        if not history.is_disturbed(run.began_ms - SETTLE_MS, run.began_ms):
+            since_ms = max(
+                version.accepted_ms
+                for version in history.versions
+                if version.accepted_ms <= run.began_ms
+            )
+            broken.append(
+                f"{run.request_id} reached {run.upstream} in {region}, "
+                f"{run.began_ms - since_ms} ms after its home was {min(homes)}"
+            )
+    return broken
+
+
 @CHECKS.register("never-back")
 def check_never_back(history: History) -> list[str]:
     """Return nodes that forgot a configuration they had served."""
@@ -216,12 +241,17 @@
 
 @CHECKS.register("recovery")
 def check_recovery(history: History) -> list[str]:
-    """Return whether too few calls are served long after the last fault."""
+    """Return whether too few calls are served long after the last fault.
+
+    A refusal doesn't count if the call is bound to a region without room.
+    """
     from_ms = history.calm_from_ms + RECOVERY_MS
     calls = [
         call
         for call in history.calls
-        if call.sent_ms >= from_ms and call.status != HTTPStatus.NOT_FOUND
+        if call.sent_ms >= from_ms
+        and call.status != HTTPStatus.NOT_FOUND
+        and not _is_refused_without_room(history, call)
     ]
     served = sum(call.status == HTTPStatus.OK for call in calls)
     if len(calls) < MIN_CALLS_AFTER:
@@ -249,6 +279,23 @@
     return sorted(found, key=lambda call: call.sent_ms)
 
 
+def _is_refused_without_room(history: History, call: Call) -> bool:
+    """Return whether a call was refused, and its home has no open upstream.
+
+    One that names a rate limit may have no room.
+    """
+    if call.status != HTTPStatus.SERVICE_UNAVAILABLE:
+        return False
+    limited = {limit.upstream for limit in history.rate_limits}
+    open_regions = {
+        time.region
+        for name, time in history.upstream_times.items()
+        if name not in limited and time.until_ms is None
+    }
+    homes = history.homes(call.target, call.sent_ms - CONFIG_LIMIT_MS, call.ended_ms)
+    return not homes <= open_regions
+
+
 def _most_within(times: list[int], span_ms: int) -> int:
     """Return the largest number of sorted times within a span."""
     return max(
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -20,12 +20,23 @@
 from bilberry_testing.machines.store import StoreServer
 from bilberry_testing.machines.table import ObjectTable
 
-from .history import ColdTime, ConfigVersion, Disturbance, History, Run
+from .history import (
+    ColdTime,
+    ConfigVersion,
+    Disturbance,
+    History,
+    Run,
+    UpstreamTime,
+)
 from .messages import RunLine, UpstreamOptions
 from .processes import NodeProcess, UpstreamProcess
 from .proxy import LinkMode, LinkProxy
 
 ZONES = {"mtl-a": "mtl", "mtl-b": "mtl", "qc-a": "qc"}
+# Each is bound to one region; they swap with each version.
+HOME_PATHS = ("/home-a/", "/home-b/")
+HOME_REGIONS = ("mtl", "qc")
+HOME_TIMEOUT_MS = 9_000
 HOST = "127.0.0.1"
 FRONT_PORT, READY_PORT, DIRECTORY_PORT, PEER_PORT = 8381, 8388, 8383, 7200
 GRACE_S = 6
@@ -100,6 +111,12 @@
     silent_beats: int = 0
 
 
+def homes_of(version: int) -> dict[str, str]:
+    """Return the region to which a version binds each path."""
+    regions = HOME_REGIONS if version % 2 else reversed(HOME_REGIONS)
+    return dict(zip(HOME_PATHS, regions, strict=True))
+
+
 class Deployment:
     """Manage all parts of a run, and record what the operator does."""
 
@@ -188,6 +205,7 @@
         now_ms = self.clock.now_ms()
         upstream.cold_until_ms = now_ms + int(cold_s * MS_PER_SECOND)
         self.upstreams[name] = upstream
+        self.history.upstream_times[name] = UpstreamTime(ZONES[zone], now_ms)
         self.register(name)
         cold = ColdTime(name, now_ms, upstream.cold_until_ms, MAX_COLD_PER_S)
         self.history.cold_times.append(cold)
@@ -245,6 +263,16 @@
             route_spec("book", "/book/", kind="non_idempotent"),
             route_spec("own", prefix),
         ]
+        homes = homes_of(self.version)
+        routes += [
+            route_spec(
+                path.strip("/"),
+                path,
+                home_regions=[region],
+                timeout_s=HOME_TIMEOUT_MS / MS_PER_SECOND,
+            )
+            for path, region in homes.items()
+        ]
         routes += [
             route_spec(f"extra-{index}", f"/v{self.version}-{index}/")
             for index in range(self.extra_routes)
@@ -254,7 +282,8 @@
         now_ms = self.clock.now_ms()
         if self.history.versions:
             self.history.versions[-1].until_ms = now_ms
-        self.history.versions.append(ConfigVersion(self.version, prefix, now_ms))
+        written = ConfigVersion(self.version, prefix, now_ms, homes=homes)
+        self.history.versions.append(written)
 
     def slow_store_links(self, delay_ms: int) -> None:
         """Let the nodes' links to the store pass 16 kB each `delay_ms`."""
@@ -266,6 +295,11 @@
         run = Run(line.request_id, line.method, line.target, upstream, line.began_ms)
         self.history.runs.append(run)
 
+    def record_leaving(self, upstream: SoakUpstream) -> None:
+        """Record that an upstream takes no more requests from now on."""
+        name = upstream.process.options.name
+        self.history.upstream_times[name].until_ms = self.clock.now_ms()
+
     def record_disturbance(
         self, kind: str, duration_ms: int, is_planned: bool, node: str = ""
     ) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,6 +25,13 @@
 # The time in which upstreams write again what a restored store lost.
 REWRITE_MS = 2_000
 FAULT_FRACTION = 0.3
+LATE_BREAK_FRACTION = 0.5
+ANSWER_FAULTS = (
+    UpstreamFault.LATE_COPY,
+    UpstreamFault.SECOND_COPY,
+    UpstreamFault.OLD_REFUSAL,
+    UpstreamFault.LOST,
+)
 COLD_S = 3.0
 RATE_LIMITS_PER_S = (1.0, 3.0, 8.0)
 
@@ -200,6 +207,7 @@
         return
     act.record("upstream-kill", extra_ms=START_MS)
     upstream.is_beating = False
+    act.deployment.record_leaving(upstream)
     upstream.process.close()
     act.sleep()
     act.deployment.add_upstream(COLD_S)
@@ -227,6 +235,7 @@
     name = upstream.process.options.name
     act.record("upstream-drain", planned=True, extra_ms=2 * DRAIN_LIMIT_MS)
     upstream.state = "draining"
+    deployment.record_leaving(upstream)
     deployment.register(name)
     deployment.history.departures.append(
         Departure(name, deployment.clock.now_ms(), DRAIN_LIMIT_MS)
@@ -285,7 +294,22 @@
     if upstream is None:
         return
     act.record("wrong-answers")
-    kinds = [fault for fault in UpstreamFault if fault is not UpstreamFault.NONE]
-    upstream.process.order(FaultOrder(act.rng.choice(kinds), FAULT_FRACTION))
+    fault = act.rng.choice(ANSWER_FAULTS)
+    upstream.process.order(FaultOrder(fault, FAULT_FRACTION))
     act.sleep()
     upstream.process.order(FaultOrder(UpstreamFault.NONE))
+
+
+@FAULTS.register("late-breaks")
+def break_off_late(act: Act) -> None:
+    """Let all upstreams hold bound requests for some seconds and break off.
+
+    It counts as planned: nodes have to keep every promise beside it.
+    """
+    act.record("late-breaks", planned=True)
+    processes = [upstream.process for upstream in act.deployment.upstreams.values()]
+    for process in processes:
+        process.order(FaultOrder(UpstreamFault.LATE_BREAK, LATE_BREAK_FRACTION))
+    act.sleep()
+    for process in processes:
+        process.order(FaultOrder(UpstreamFault.NONE))
--- a/soak/history.py
+++ b/soak/history.py
@@ -31,6 +31,7 @@
     answer_id: str = ""
     body: bytes = b""
     closed: bool = False
+    timeout_ms: int = 2_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,6 +45,15 @@
     began_ms: int
 
 
+@dataclass(slots=True)
+class UpstreamTime:
+    """Represent the time in which an upstream takes requests in a region."""
+
+    region: str
+    from_ms: int
+    until_ms: int | None = None
+
+
 @dataclass(slots=True, frozen=True)
 class Departure:
     """Represent an upstream that the store lists as leaving from a time on.
@@ -80,13 +90,20 @@
 class ConfigVersion:
     """Represent a configuration that the store accepted, with its own path.
 
-    The path is dropped with the next version, at `until_ms`.
+    The next version replaces it at `until_ms`, and drops the path. `homes` has
+    the region to which it binds other paths.
     """
 
     version: int
     prefix: str
     accepted_ms: int
     until_ms: int | None = None
+    homes: dict[str, str] = field(default_factory=dict)
+
+    def is_in_force(self, from_ms: int, until_ms: int) -> bool:
+        """Return whether it was in force at any time of a span."""
+        is_replaced = self.until_ms is not None and self.until_ms < from_ms
+        return self.accepted_ms <= until_ms and not is_replaced
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,6 +130,7 @@
     departures: list[Departure] = field(default_factory=list)
     cold_times: list[ColdTime] = field(default_factory=list)
     rate_limits: list[RateLimitTime] = field(default_factory=list)
+    upstream_times: dict[str, UpstreamTime] = field(default_factory=dict)
     versions: list[ConfigVersion] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
     calm_from_ms: int = 0
@@ -125,6 +143,16 @@
             found.setdefault(run.request_id, []).append(run)
         return found
 
+    def homes(self, target: str, from_ms: int, until_ms: int) -> set[str]:
+        """Return where a target is bound by the versions of a span."""
+        return {
+            region
+            for version in self.versions
+            if version.is_in_force(from_ms, until_ms)
+            for path, region in version.homes.items()
+            if target.startswith(path)
+        }
+
     def is_disturbed(self, from_ms: int, until_ms: int, planned: bool = False) -> bool:
         """Return whether anything unplanned went on in a span.
 
--- a/soak/messages.py
+++ b/soak/messages.py
@@ -13,6 +13,7 @@
     SECOND_COPY = auto()
     OLD_REFUSAL = auto()
     LOST = auto()
+    LATE_BREAK = auto()
 
 
 class UpstreamOptions(msgspec.Struct, frozen=True):
--- a/soak/upstream_process.py
+++ b/soak/upstream_process.py
@@ -11,7 +11,9 @@
 from gevent.fileobject import FileObjectThread
 
 from bilberry_core.clock import SystemClock
+from bilberry_core.const import MS_PER_SECOND
 from bilberry_platform.const import HEADER_NAMES
+from bilberry_router.http.connection import ConnectionLostError
 from bilberry_testing.machines.upstream import ServedRequest, UpstreamServer
 
 from .messages import (
@@ -22,6 +24,8 @@
     UpstreamOptions,
 )
 
+BREAK_DELAY_MS = 5_000
+
 
 class UpstreamProgram:
     """Serve requests, with faults on a fraction of the answers."""
@@ -61,7 +65,11 @@
             self.order = order
 
     def tell(self, served: ServedRequest) -> None:
-        """Write a line for a request that begins to run."""
+        """Write a line for a request that begins to run.
+
+        Raise ConnectionLostError to break off one that has time for another
+        attempt.
+        """
         if self._is_hit(UpstreamFault.LOST):
             self.server.faults.script.append(None)
         line = RunLine(
@@ -72,6 +80,10 @@
         )
         sys.stdout.buffer.write(msgspec.json.encode(line) + b"\n")
         sys.stdout.flush()
+        has_time = served.timeout_ms > BREAK_DELAY_MS
+        if has_time and self._is_hit(UpstreamFault.LATE_BREAK):
+            gevent.sleep(BREAK_DELAY_MS / MS_PER_SECOND)
+            raise ConnectionLostError
 
     def leading_bytes(self, served: ServedRequest) -> bytes:
         """Return what comes before an answer: an earlier one, once more."""
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -34,6 +34,12 @@
     PlannedFault("configuration", 2_800, 1_000, 2),
 )
 
+# Requests whose first attempt broke off late were sent to their old home.
+BREAKS_BESIDE_SWAPPED_HOMES = (
+    PlannedFault("late-breaks", 1_000, 800, 1),
+    PlannedFault("configuration", 1_900, 500, 2),
+)
+
 # Nodes read each version in full, and were behind by more with each.
 LARGE_VERSIONS_IN_A_ROW = tuple(
     PlannedFault("configuration", at_ms, 500, at_ms) for at_ms in range(500, 5_000, 330)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -14,6 +14,7 @@
     History,
     RateLimitTime,
     Run,
+    UpstreamTime,
 )
 
 CALM_MS = 20_000
@@ -175,6 +176,86 @@
     assert names_of(history) == set()
 
 
+def add_bound_runs(history, upstream, *began):
+    """Add served calls to a path bound to mtl, from 30 s on to qc.
+
+    They are sent 5 s before they run.
+    """
+    history.versions = [
+        ConfigVersion(6, "/v6/", 0, until_ms=30_000, homes={"/home-a/": "mtl"}),
+        ConfigVersion(7, "/v7/", 30_000, homes={"/home-a/": "qc"}),
+    ]
+    history.upstream_times = {
+        "i-0": UpstreamTime("mtl", 0),
+        "i-1": UpstreamTime("qc", 0),
+    }
+    for index, began_ms in enumerate(began):
+        call, run = answered(f"h{index}", 0, target="/home-a/x", upstream=upstream)
+        call.sent_ms, call.ended_ms = began_ms - 5_000, began_ms + 50
+        history.calls.append(call)
+        history.runs.append(replace(run, began_ms=began_ms))
+
+
+def test_a_run_in_an_old_home_is_found_by_when_it_began():
+    history = sound_history()
+    add_bound_runs(history, "i-0", 10_000, 34_000)
+    assert names_of(history) == set()
+    add_bound_runs(history, "i-0", 34_001)
+    assert names_of(history) == {"homes"}
+
+
+def test_a_run_outside_a_home_that_never_moved_is_found():
+    history = sound_history()
+    add_bound_runs(history, "i-1", 30_001, 40_000)
+    assert names_of(history) == set()
+    add_bound_runs(history, "i-1", 10_000)
+    assert names_of(history) == {"homes"}
+
+
+def test_a_run_in_an_old_home_is_found_only_in_calm():
+    history = sound_history()
+    add_bound_runs(history, "i-0", 40_000)
+    history.disturbances = [Disturbance("store-down", 33_000, 34_999, False)]
+    assert names_of(history) == {"homes"}
+    history.disturbances = [Disturbance("late-breaks", 33_000, 41_000, True)]
+    assert names_of(history) == {"homes"}
+    history.disturbances = [Disturbance("store-down", 33_000, 35_000, False)]
+    assert names_of(history) == set()
+
+
+def add_refused_calls(history, target, status=503):
+    add_bound_runs(history, "i-1")
+    for index in range(10):
+        call, _ = answered(f"refused{index}", 35_000 + index, target=target)
+        call.status = status
+        history.calls.append(call)
+
+
+def test_refusals_of_calls_whose_home_has_room_count_in_recovery():
+    history = sound_history()
+    add_refused_calls(history, "/home-a/x")
+    assert names_of(history) == {"recovery"}
+
+
+@pytest.mark.parametrize("reason", ["gone", "limited"])
+def test_refusals_of_calls_whose_home_lost_its_room_do_not_count(reason):
+    history = sound_history()
+    add_refused_calls(history, "/home-a/x")
+    if reason == "gone":
+        history.upstream_times["i-1"].until_ms = 20_000
+    else:
+        history.rate_limits = [RateLimitTime("i-1", 20_000, 1.0)]
+    assert names_of(history) == set()
+
+
+@pytest.mark.parametrize(("target", "status"), [("/read/x", 503), ("/home-a/x", 502)])
+def test_other_calls_not_served_count_where_a_region_lost_its_room(target, status):
+    history = sound_history()
+    add_refused_calls(history, target, status)
+    history.upstream_times["i-1"].until_ms = 20_000
+    assert names_of(history) == {"recovery"}
+
+
 def test_callers_that_are_not_served_after_the_faults_are_found():
     history = sound_history()
     for call in history.calls[30:]:
@@ -193,6 +274,7 @@
         "limit",
         "retries",
         "config",
+        "homes",
         "never-back",
         "cut",
         "recovery",
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -2,9 +2,11 @@
 
 import gevent
 
+from soak.checks import CONFIG_LIMIT_MS
 from soak.run import QUICK_SIZE, Size, SoakRun
 
 from .regressions import (
+    BREAKS_BESIDE_SWAPPED_HOMES,
     LARGE_VERSIONS_IN_A_ROW,
     LAST_UPSTREAM_OF_A_REGION,
     RATE_LIMITS_BESIDE_RESTARTS,
@@ -20,6 +22,7 @@
     store_delay_ms=30,
     extra_routes=2_800,
 )
+TWO_UPSTREAMS_PER_ZONE_SIZE = Size(nodes=3, upstreams=6, callers=24, faults_ms=3_000)
 
 
 def broken_in(run):
@@ -54,3 +57,12 @@
     run = SoakRun(6, SLOW_STORE_SIZE, tmp_path)
     run.schedule = list(LARGE_VERSIONS_IN_A_ROW)
     assert broken_in(run) == []
+
+
+def test_requests_that_break_off_late_are_repeated_in_their_new_home(tmp_path):
+    run = SoakRun(7, TWO_UPSTREAMS_PER_ZONE_SIZE, tmp_path)
+    run.schedule = list(BREAKS_BESIDE_SWAPPED_HOMES)
+    assert broken_in(run) == []
+    limit_ms = run.history.versions[-1].accepted_ms + CONFIG_LIMIT_MS
+    repeated = [runs[1:] for runs in run.history.runs_by_id().values()]
+    assert any(again.began_ms > limit_ms for runs in repeated for again in runs)
