Show that a read that failed in a standstill holds back the reread

The logs show with each that a watch's time had run out in the standstill. The breaker takes it for a failure of the store, and start_catch_up does nothing during its pause.

--- a/tests/bilberry_platform/test_standstills.py
+++ b/tests/bilberry_platform/test_standstills.py
@@ -87,3 +87,13 @@
         client.send("/zu/x", host=HOSTS[0])
         time.sleep(STANDSTILL_S)
         assert served_region(client.answer()) == "mtl"
+
+
+def test_a_read_that_failed_in_a_standstill_does_not_hold_back_the_next():
+    with Deployment() as deployment:
+        node = deployment.node()
+        deployment.store.table.put("config", "main", config(3, ("qc", "mtl")))
+        config_feed = node.feeds[0]
+        config_feed.breaker.on_failure(False, deployment.clock.now_ms())
+        node.rereads.read()
+        assert node.state.config_version == 3
