Go back to one limiter of region shares for each node

Refused at qc nodes, with a quarter of the slots taken and none of the upstreams held back or full.

Cause, by reading: a request bound to one region made a second limiter, and with two the credit of each was 0.9 requests in place of 2.5, so that most requests found no share in the one region that they wanted.

What was for stays: a request whose eligible upstreams are all in one region goes there and counts in no share, with the tests test_requests_bound_to_another_region_are_not_refused_while_it_has_room and test_a_service_with_upstreams_in_another_region_only_is_served_there.

--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -87,7 +87,7 @@
                 has_ended,
                 outcome.reason,
             )
-        self.state.region_share_limiters.relax_limit(now_ms)
+        self.state.region_share_limiter.relax_limit(now_ms)
 
     def _record_shed(
         self,
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -171,10 +171,10 @@
             inputs.placer.queue_length(service),
             service=service,
         )
-    for region, share in state.region_share_limiters.unbound.shares.items():
+    for region, share in state.region_share_limiter.shares.items():
         metrics.set_gauge(
             "bilberry_entry_region_share",
-            "Part of this node's requests without home regions that goes there.",
+            "Part of this node's requests that goes to the region.",
             share,
             region=region,
         )
--- a/packages/bilberry_router/src/bilberry_router/entry/placer.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/placer.py
@@ -266,11 +266,11 @@
         state = self.state
         requirements = request.requirements
         wait_state = self.wait_state(request, now_ms)
-        limiter = state.region_shares_of(requirements.home_regions, now_ms)
+        state.init_region_shares(now_ms)
         selection = state.selector.select(
             requirements,
             state.upstreams.accepts_requests,
-            limiter.pick_region,
+            state.region_share_limiter.pick_region,
             now_ms,
             wait_state,
         )
@@ -320,8 +320,7 @@
         upstream.in_flight += 1
         state.rate_limiter.record_sent(upstream, now_ms)
         if selection.has_region_choice:
-            limiter = state.region_shares_of(requirements.home_regions, now_ms)
-            limiter.record_sent(upstream.spec.region, now_ms)
+            state.region_share_limiter.record_sent(upstream.spec.region, now_ms)
         if upstream.takes_turns(now_ms):
             cold_per_s = state.pool(requirements.service).cold_requests_per_s
             state.cold_rate_limiter.schedule_next(upstream, cold_per_s, now_ms)
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -19,8 +19,8 @@
     RouteRule,
     RoutingConfig,
 )
+from bilberry_steering.initial_shares import initial_shares
 from bilberry_steering.region_share_limiter import RegionShareLimiter
-from bilberry_steering.region_share_limiters import RegionShareLimiters
 from bilberry_steering.route_table import RouteTable
 
 from .const import RETRY_LIMIT_FRACTION
@@ -58,7 +58,7 @@
     upstreams: UpstreamDirectory = field(init=False)
     peer_loads: PeerLoads = field(init=False)
     selector: UpstreamSelector = field(init=False)
-    region_share_limiters: RegionShareLimiters = field(init=False)
+    region_share_limiter: RegionShareLimiter = field(init=False)
     restarts: RestartTracker = field(init=False)
     route_times: dict[str, ProcessingTimes] = field(default_factory=dict)
     retry_budgets: dict[str, RetryWindow] = field(default_factory=dict)
@@ -80,8 +80,8 @@
             self.cold_rate_limiter,
             self.rate_limiter,
         )
-        self.region_share_limiters = RegionShareLimiters(
-            self.location.region, self.shared_limits.max_region_shift
+        self.region_share_limiter = RegionShareLimiter(
+            self.shared_limits.max_region_shift
         )
 
     @property
@@ -140,27 +140,22 @@
         for budget in self.retry_budgets.values():
             budget.slack = self.retry_slack()
 
-    def region_shares_of(
-        self, homes: frozenset[str], now_ms: int
-    ) -> RegionShareLimiter:
-        """Return the limiter of requests bound to `homes`, with its shares."""
-        limiters = self.region_share_limiters
-        if limiters.needs_shares(homes, now_ms):
-            limiters.init_shares(homes, self.region_slots(), now_ms)
-        return limiters.get_or_add(homes)
-
-    def region_slots(self) -> dict[str, float]:
-        """Return the slots of all upstreams by region."""
+    def init_region_shares(self, now_ms: int) -> None:
+        """Set the initial shares of the regions from their slots, once."""
+        if self.region_share_limiter.shares:
+            return
         slots: dict[str, float] = {}
         for upstream in self.upstreams.by_name.values():
             region = upstream.spec.region
             slots[region] = slots.get(region, 0.0) + upstream.spec.slots
-        return slots
+        self.region_share_limiter.set_initial_shares(
+            initial_shares(slots, self.location.region), now_ms
+        )
 
     def update_open_regions(self) -> None:
-        """Tell the limiters which regions have an upstream to use."""
+        """Tell the limiter which regions have an upstream that may be used."""
         accepts = self.upstreams.accepts_requests
-        self.region_share_limiters.set_open_regions(
+        self.region_share_limiter.set_open_regions(
             {u.spec.region for u in self.upstreams.by_name.values() if accepts(u)}
         )
 
@@ -194,7 +189,7 @@
     def set_shared_limits(self, shared_limits: SharedLimits) -> None:
         """Apply changed limits."""
         self.shared_limits = shared_limits
-        self.region_share_limiters.set_max_share(shared_limits.max_region_shift)
+        self.region_share_limiter.set_max_share(shared_limits.max_region_shift)
         self.retry_budgets.clear()
 
     def in_flight(self) -> dict[str, int]:
--- a/packages/bilberry_steering/src/bilberry_steering/region_share_limiter.py
+++ b/packages/bilberry_steering/src/bilberry_steering/region_share_limiter.py
@@ -30,7 +30,6 @@
 
     __slots__ = (
         "credits",
-        "max_credit",
         "max_per_ms",
         "moved_at_ms",
         "relaxed_until_ms",
@@ -40,7 +39,6 @@
 
     def __init__(self, max_share: float) -> None:
         self.max_per_ms = 0.0
-        self.max_credit = REGION_SHARE_MAX_CREDIT
         self.set_max_share(max_share)
         self.moved_at_ms = 0
         self.relaxed_until_ms = 0
@@ -87,7 +85,7 @@
         self._move_shares(now_ms)
         for region in wanted:
             credit = self.credits.get(region, 0.0) + self.shares.get(region, 0.0)
-            if credit - 1.0 >= -self.max_credit:
+            if credit - 1.0 >= -REGION_SHARE_MAX_CREDIT:
                 return region
         return None
 
@@ -101,7 +99,7 @@
         for name in {region, *self.shares, *self.credits}:
             credit = self.credits.get(name, 0.0) + self.shares.get(name, 0.0)
             credit -= name == region
-            self.credits[name] = min(self.max_credit, credit)
+            self.credits[name] = min(REGION_SHARE_MAX_CREDIT, credit)
 
     def _count_wanted(self, region: str) -> None:
         if not self.wanted_shares:
--- a/tests/bilberry_platform/test_discovery.py
+++ b/tests/bilberry_platform/test_discovery.py
@@ -226,8 +226,7 @@
             assert reply.status == 200
         deployment.register(local, zone="qc-a", born=2, state="draining")
         eventually(lambda: not accepts_requests(node, local.name))
-        limiters = node.state.region_share_limiters
-        eventually(lambda: "qc" not in limiters.unbound.shares)
+        eventually(lambda: "qc" not in node.state.region_share_limiter.shares)
         served = [
             fetch(node.entry_listener, "/read/x", request_id=f"b{index}").status
             for index in range(20)
