--- a/tests/bilberry_router/entry/test_placer.py
+++ b/tests/bilberry_router/entry/test_placer.py
@@ -32,12 +32,14 @@
         self.placer = Placer(self.state)
         self.disconnect = None
 
-    def request(self):
+    def request(self, homes=()):
         rule = self.state.routes.config.routes[0]
         processing_times = self.state.processing_times(rule, "s")
         now_ms = self.clock.now_ms()
         until_ms = now_ms + TARGET_MS
-        requirements = UpstreamRequirements("s", "k", processing_times)
+        requirements = UpstreamRequirements(
+            "s", "k", processing_times, frozenset(homes)
+        )
         return PlacementRequest(requirements, 0, TARGET_MS, now_ms, until_ms, until_ms)
 
     def watch(self, on_caller_gone):
@@ -83,13 +85,28 @@
     assert rig.upstream.in_flight == 0
 
 
+def put_upstream(rig, name, service, region):
+    spec = UpstreamSpec(name, service, "127.0.0.1:1", f"{region}-a", region, slots=20)
+    rig.state.upstreams.put(spec, draining=False)
+
+
 def test_a_service_with_upstreams_in_another_region_only_is_served_there():
     rig = OneSlot()
     rig.state.upstreams.remove("u0")
-    for name, service, region in (("u1", "s", "qc"), ("u2", "other", "mtl")):
-        spec = UpstreamSpec(
-            name, service, "127.0.0.1:1", f"{region}-a", region, slots=20
-        )
-        rig.state.upstreams.put(spec, draining=False)
+    put_upstream(rig, "u1", "s", "qc")
+    put_upstream(rig, "u2", "other", "mtl")
     for _ in range(20):
         assert isinstance(rig.place(rig.request()), Selection)
+
+
+def test_requests_bound_to_one_region_leave_the_shares_of_others_alone():
+    rig = OneSlot()
+    put_upstream(rig, "u1", "s", "mtl")
+    put_upstream(rig, "u2", "s", "qc")
+    rig.state.init_region_shares(rig.clock.now_ms())
+    limiter = rig.state.region_share_limiter
+    before = dict(limiter.wanted_shares), dict(limiter.shares), dict(limiter.credits)
+    for _ in range(10):
+        placed = rig.place(rig.request(homes=["qc"]))
+        assert placed.upstream.name == "u2"
+    assert (limiter.wanted_shares, limiter.shares, limiter.credits) == before
