--- a/tests/bilberry_platform/test_standstills.py
+++ b/tests/bilberry_platform/test_standstills.py
@@ -16,12 +16,18 @@
 STANDSTILL_S = (MIN_BEHIND_MS + 500) / 1_000
 
 
+def start_node(deployment, homes):
+    """Start a node that has installed version 2, with these homes."""
+    deployment.write("config", "main", config(2, homes))
+    node = deployment.node()
+    eventually(lambda: node.state.config_version == 2)
+    return node
+
+
 def test_requests_that_came_during_a_standstill_go_by_the_homes_of_its_end():
     with Deployment() as deployment:
         deployment.register(deployment.upstreams[1], zone="qc-a")
-        deployment.write("config", "main", config(2, ("mtl", "qc")))
-        node = deployment.node()
-        eventually(lambda: node.state.config_version == 2)
+        node = start_node(deployment, ("mtl", "qc"))
         client = connect(node.entry_listener)
         client.send("/zu/x", request_id="before", host=HOSTS[0])
         assert served_region(client.answer()) == "mtl"
@@ -53,9 +59,7 @@
 def test_short_standstills_in_a_row_count_together():
     with Deployment() as deployment:
         deployment.register(deployment.upstreams[1], zone="qc-a")
-        deployment.write("config", "main", config(2, ("mtl", "qc")))
-        node = deployment.node()
-        eventually(lambda: node.state.config_version == 2)
+        node = start_node(deployment, ("mtl", "qc"))
         deployment.store.table.put("config", "main", config(3, ("qc", "mtl")))
         for _ in range(3):
             time.sleep(SHORT_STANDSTILL_S)
@@ -67,9 +71,7 @@
 
 def test_a_request_with_little_time_left_is_not_held_until_it_ends():
     with Deployment() as deployment:
-        deployment.write("config", "main", config(2, ("mtl", "mtl")))
-        node = deployment.node()
-        eventually(lambda: node.state.config_version == 2)
+        node = start_node(deployment, ("mtl", "mtl"))
         deployment.store.faults.silent = True
         client = connect(node.entry_listener)
         time.sleep(STANDSTILL_S)
@@ -79,9 +81,7 @@
 
 def test_a_standstill_during_an_outage_of_the_store_refuses_nobody():
     with Deployment() as deployment:
-        deployment.write("config", "main", config(2, ("mtl", "mtl")))
-        node = deployment.node()
-        eventually(lambda: node.state.config_version == 2)
+        node = start_node(deployment, ("mtl", "mtl"))
         deployment.store.go_down()
         client = connect(node.entry_listener)
         client.send("/zu/x", host=HOSTS[0])
