Track how recent the installed configuration is known to be

Callers: a key that an operator took away may go on working at a node that the store turns away, as nothing tells the node that its configuration is old. Change: exact reads of a kind tell when they began; a proof counts from there, in boot time, which goes on while the machine is suspended. Peers hand it on with its age, and it counts from when it was asked for, so that delayed datagrams make it no younger. One node of a failure domain reads, the others ask it; without a recent proof a node asks others and reads itself. A version that can't be read, or is older than the installed one, proves nothing.

--- a/packages/bilberry_core/src/bilberry_core/clock.py
+++ b/packages/bilberry_core/src/bilberry_core/clock.py
@@ -17,6 +17,10 @@
         """Return ms since the Unix epoch; the value may jump."""
         ...
 
+    def boot_ms(self) -> int:
+        """Return monotonic time in ms that goes on during a suspension."""
+        ...
+
 
 class SystemClock:
     """Read the clocks of the operating system."""
@@ -31,6 +35,10 @@
         """Return ms since the Unix epoch."""
         return time.time_ns() // NS_PER_MS
 
+    def boot_ms(self) -> int:
+        """Return ms since the machine booted, suspensions included."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
+
 
 class MonotonicWallClock:
     """Derive wall time from the monotonic clock, unaffected by clock jumps.
@@ -52,15 +60,20 @@
         """Return the wall time read at creation plus the time since then."""
         return self.base.now_ms() + self.offset_ms
 
+    def boot_ms(self) -> int:
+        """Return the boot time of the base clock."""
+        return self.base.boot_ms()
+
 
 class ManualClock:
     """Advance only when told to; for tests and simulations."""
 
-    __slots__ = ("monotonic_ms", "offset_ms")
+    __slots__ = ("monotonic_ms", "offset_ms", "suspended_ms")
 
     def __init__(self, monotonic_ms: int = 0, offset_ms: int = 0) -> None:
         self.monotonic_ms = monotonic_ms
         self.offset_ms = offset_ms
+        self.suspended_ms = 0
 
     def now_ms(self) -> int:
         """Return the monotonic time that was set."""
@@ -70,6 +83,14 @@
         """Return the monotonic time plus the wall clock's offset."""
         return self.monotonic_ms + self.offset_ms
 
+    def boot_ms(self) -> int:
+        """Return the monotonic time plus the time spent suspended."""
+        return self.monotonic_ms + self.suspended_ms
+
+    def suspend(self, duration_ms: int) -> None:
+        """Pass time that only the boot clock counts."""
+        self.suspended_ms += duration_ms
+
     def advance(self, delta_ms: int) -> int:
         """Advance by `delta_ms` and return the new monotonic time."""
         assert delta_ms >= 0, "a monotonic clock never goes back"
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
@@ -11,12 +11,17 @@
 _LOGGER = logging.getLogger(__name__)
 
 ConfigDecoder = Callable[[Record], Result[RoutingConfig, str]]
+MAX_LOGGED_PROBLEMS = 20
 
 
 class ConfigListener:
-    """Install decoded configurations; skip those that fail to decode."""
+    """Install decoded configurations; skip those that fail to decode.
 
-    __slots__ = ("decode", "install", "name")
+    `is_current` is whether the installed one is the latest that was read. A
+    store that has come back from a copy may have an older one.
+    """
+
+    __slots__ = ("decode", "install", "is_current", "name", "version")
 
     def __init__(
         self,
@@ -27,6 +32,8 @@
         self.name = name
         self.decode = decode
         self.install = install
+        self.version: int | None = None
+        self.is_current = False
 
     def on_snapshot(self, snapshot: Snapshot) -> bool:
         """Install the configuration in the snapshot, if it is newer."""
@@ -35,9 +42,19 @@
 
     def on_changes(self, changes: Changes) -> bool:
         """Install the latest configuration in a batch that can be decoded."""
-        for change in reversed(changes.changes):
-            if not change.deleted and self._install_record(change.record):
+        records = [
+            change.record
+            for change in changes.changes
+            if not change.deleted and change.record.name == self.name
+        ]
+        is_current = self.is_current
+        for age, record in enumerate(reversed(records)):
+            is_newer = self._install_record(record)
+            if age == 0:
+                is_current = self.is_current
+            if is_newer:
                 break
+        self.is_current = is_current
         return True
 
     def on_outage(self) -> None:
@@ -54,13 +71,27 @@
             _LOGGER.error(
                 "discovery: Could not decode the configuration: %s.", decoded.failure()
             )
+            self.is_current = False
             return False
         config = decoded.unwrap()
         is_newer = self.install(config)
         if is_newer:
-            _LOGGER.info(
-                "discovery: Installed configuration version %s with %s routes.",
-                config.version,
-                len(config.routes),
-            )
+            self.version = config.version
+            _log_installed(config)
+        self.is_current = config.version == self.version
         return is_newer
+
+
+def _log_installed(config: RoutingConfig) -> None:
+    _LOGGER.info(
+        "discovery: Installed configuration version %s with %s routes.",
+        config.version,
+        len(config.routes),
+    )
+    for problem in config.problems[:MAX_LOGGED_PROBLEMS]:
+        _LOGGER.warning("discovery: Version %s, %s.", config.version, problem)
+    left_out = len(config.problems) - MAX_LOGGED_PROBLEMS
+    if left_out > 0:
+        _LOGGER.warning(
+            "discovery: Version %s has %s more problems.", config.version, left_out
+        )
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/feed.py
@@ -3,7 +3,6 @@
 import logging
 from collections import Counter
 from collections.abc import Callable
-from enum import Enum, auto
 
 import gevent
 from gevent import Greenlet
@@ -14,6 +13,7 @@
 from bilberry_store.backoff import Backoff
 from bilberry_store.errors import StoreError, StoreErrorKind
 
+from .batch_effect import BatchEffect
 from .const import (
     BATCH_PAUSE_MS,
     CATCH_UP_WAIT_MS,
@@ -41,21 +41,10 @@
 OUTAGE_KINDS = frozenset(
     {StoreErrorKind.UNREACHABLE, StoreErrorKind.UNKNOWN, StoreErrorKind.THROTTLED}
 )
-
-
 # After these the kind is listed, as its changes can't be followed.
 LIST_AGAIN_KINDS = frozenset({StoreErrorKind.GONE, StoreErrorKind.TOO_LARGE})
 
 
-class BatchEffect(Enum):
-    """Enumerate what a batch of changes did."""
-
-    NONE = auto()
-    RENEWED = auto()
-    CHANGED = auto()
-    OTHER_ERA = auto()
-
-
 class Feed:
     """List a kind, then watch it; list again when its history is gone.
 
@@ -67,7 +56,8 @@
     `revision` is 0 until one is complete. While the store fails, the node's
     feeds share one probe of it. The kind is listed again when its changes are
     gone or larger than a list, and when the store has come back from a copy,
-    as its revisions are then given out again.
+    as its revisions are then given out again. `on_exact_read` gets the boot
+    time at which an exact read began that has been applied.
     """
 
     __slots__ = (
@@ -85,6 +75,7 @@
         "last_revision",
         "listener",
         "may_be_stale",
+        "on_exact_read",
         "peers",
         "progress",
         "revision",
@@ -119,6 +110,7 @@
         self.calls: Counter[str] = Counter()
         self.progress = ReadProgress(clock)
         self.changes_limit_bytes = MIN_CHANGES_LIMIT_BYTES
+        self.on_exact_read: Callable[[int], None] | None = None
         self.kind = kind
         self.source = source
         self.listener = listener
@@ -153,6 +145,7 @@
         self.sought_era = self.store_era.value
         is_probe = self.wait_for_store()
         self.progress.limit_bytes = None
+        began_ms = self.clock.boot_ms()
         listed = read_snapshot(self.kind, self.source, self.progress)
         if isinstance(listed, Failure):
             self.handle_list_failure(listed.failure(), is_probe)
@@ -167,6 +160,7 @@
         )
         self.revision = snapshot.revision
         has_news = self.listener.on_snapshot(snapshot)
+        self.record_exact_read(began_ms, snapshot.era, snapshot.revision)
         # What a first list brings is news to this node only.
         if has_news and self.last_revision:
             self.event_revision = snapshot.revision
@@ -199,6 +193,7 @@
             is_stale = self.may_be_stale()
             wait_ms = CATCH_UP_WAIT_MS if is_probe else self.watch_wait_ms(is_stale)
             self.progress.limit_bytes = self.changes_limit_bytes
+            began_ms = self.clock.boot_ms()
             watched = self.source.watch(
                 self.kind, revision, wait_ms, is_stale, self.progress
             )
@@ -215,8 +210,16 @@
             effect = self.apply(changes, revision)
             if effect is BatchEffect.OTHER_ERA:
                 return
+            if not is_stale:
+                self.record_exact_read(began_ms, changes.era, changes.revision)
             self.pause(effect, is_stale)
 
+    def record_exact_read(self, began_ms: int, era: int, revision: int) -> None:
+        """Tell that all changes are known up to when an exact read began."""
+        is_known = era in (0, self.era) and self.revision >= revision
+        if is_known and self.on_exact_read is not None:
+            self.on_exact_read(began_ms)
+
     def pause(self, effect: BatchEffect, is_stale: bool) -> None:
         """Wait after a batch of changes, longer if it changed nothing."""
         if effect is BatchEffect.NONE:
@@ -290,9 +293,7 @@
 
     def start_catch_up(self, now_ms: int) -> None:
         """Start an exact read, unless one runs or the store fails."""
-        is_reading = (
-            self.catch_up_greenlet is not None and not self.catch_up_greenlet.ready()
-        )
+        is_reading = self.catch_up_greenlet and not self.catch_up_greenlet.ready()
         if is_reading or self.breaker.delay_ms(now_ms):
             return
         self.peers.record_catch_up(now_ms)
@@ -309,20 +310,25 @@
     def catch_up(self, is_probe: bool) -> None:
         """Read the changes since the known revision, exactly and at once."""
         revision = self.revision
-        _LOGGER.info(
-            "discovery: Behind on %s at revision %s, peers have %s.",
-            self.kind,
-            revision,
-            self.peers.latest,
-        )
+        if self.peers.latest > revision:
+            _LOGGER.info(
+                "discovery: Behind on %s at revision %s, peers have %s.",
+                self.kind,
+                revision,
+                self.peers.latest,
+            )
         progress = ReadProgress(self.clock)
         progress.limit_bytes = self.changes_limit_bytes
+        began_ms = self.clock.boot_ms()
         read = self.source.watch(self.kind, revision, CATCH_UP_WAIT_MS, False, progress)
         if not isinstance(read, Failure):
             self.record_answer()
             progress.log_if_slow(self.kind)
-            if self.apply(read.unwrap(), revision) is BatchEffect.OTHER_ERA:
+            changes = read.unwrap()
+            if self.apply(changes, revision) is BatchEffect.OTHER_ERA:
                 self.restart()
+            else:
+                self.record_exact_read(began_ms, changes.era, changes.revision)
         elif read.failure().kind in LIST_AGAIN_KINDS:
             self.handle_list_again(read.failure())
             self.restart()
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
@@ -20,7 +20,15 @@
 from bilberry_core.const import MS_PER_SECOND
 
 from .const import DETAILS_MS, LISTEN_MS, MAX_DATAGRAM_BYTES
-from .messages import DomainSummary, Heartbeat, SuspectCall, SuspectReply
+from .messages import (
+    DomainSummary,
+    Heartbeat,
+    ProofMessage,
+    ProofReply,
+    ProofRequest,
+    SuspectCall,
+    SuspectReply,
+)
 from .nodes import Peer, PeerTable
 from .send_schedule import SendSchedule
 
@@ -32,11 +40,12 @@
 PURPOSE_SUMMARY = "summary"
 PURPOSE_RELAYED_SUMMARY = "relayed_summary"
 PURPOSE_SUSPECTS = "suspects"
+PURPOSE_PROOFS = "proofs"
 
 SuspectMessage = SuspectCall | SuspectReply
 
 
-def discard_message(message: SuspectMessage, address: str) -> None:
+def discard_message(message: SuspectMessage | ProofMessage, address: str) -> None:
     """Discard a message; the default without a receiver."""
 
 
@@ -49,6 +58,7 @@
         "greenlets",
         "make_heartbeat",
         "on_heartbeat",
+        "on_proof_message",
         "on_summary",
         "on_suspect_message",
         "peers",
@@ -71,10 +81,16 @@
         self.make_heartbeat = make_heartbeat
         self.on_heartbeat = on_heartbeat
         self.on_summary = on_summary
-        self.on_suspect_message = discard_message
+        self.on_suspect_message: Callable[[SuspectMessage, str], None] = discard_message
+        self.on_proof_message: Callable[[ProofMessage, str], None] = discard_message
         self.schedule = SendSchedule(peers)
         self.decoder = msgspec.msgpack.Decoder(
-            Heartbeat | DomainSummary | SuspectCall | SuspectReply
+            Heartbeat
+            | DomainSummary
+            | SuspectCall
+            | SuspectReply
+            | ProofRequest
+            | ProofReply
         )
         self.started_at_ms = 0
         self.sent_bytes: Counter[str] = Counter()
@@ -113,8 +129,10 @@
                 self.receive_heartbeat(message)
             elif isinstance(message, DomainSummary):
                 self.receive_summary(message)
-            else:
+            elif isinstance(message, SuspectMessage):
                 self.on_suspect_message(message, f"{host}:{port}")
+            else:
+                self.on_proof_message(message, f"{host}:{port}")
 
     def receive_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Apply a heartbeat; tell other domains at once of a changed state."""
@@ -166,7 +184,12 @@
         data = msgspec.msgpack.encode(summary)
         self._send_to_all(targets, data, PURPOSE_SUMMARY)
 
-    def send_to(self, addresses: list[str], message: SuspectMessage) -> None:
+    def send_to(
+        self,
+        addresses: list[str],
+        message: SuspectMessage | ProofMessage,
+        purpose: str = PURPOSE_SUSPECTS,
+    ) -> None:
         """Send a message to nodes at once."""
         if self.sock is None:
             _LOGGER.info("heartbeats: Closed, a message is not sent.")
@@ -174,7 +197,7 @@
         data = msgspec.msgpack.encode(message)
         for address in addresses:
             self._send(address, data)
-        self.sent_bytes[PURPOSE_SUSPECTS] += len(data) * len(addresses)
+        self.sent_bytes[purpose] += len(data) * len(addresses)
 
     def _send_to_all(self, peers: list[Peer], data: bytes, purpose: str) -> None:
         for peer in peers:
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
@@ -95,6 +95,26 @@
     asks_all: bool = False
 
 
+class ProofRequest(msgspec.Struct, array_like=True, tag="proof_request"):
+    """Ask another node how recent its configuration is known to be."""
+
+    call_id: int
+
+
+class ProofReply(msgspec.Struct, array_like=True, tag="proof_reply"):
+    """Reply that no version newer than `config_version` existed then.
+
+    That was `age_ms` before this reply.
+    """
+
+    call_id: int
+    age_ms: int
+    config_version: int
+
+
+ProofMessage = ProofRequest | ProofReply
+
+
 class SuspectReply(msgspec.Struct, array_like=True, tag="suspect_reply"):
     """Reply to a call with what is known of the suspects in it."""
 
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/nodes.py
@@ -1,6 +1,7 @@
 """Track the other nodes through the store, heartbeats and summaries."""
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from bilberry_balance.placement.rate_limit import RateLimitReport
@@ -169,6 +170,17 @@
         """Return all known peers of the own failure domain, alive or not."""
         return list(self.by_domain.get(self.own.failure_domain, {}).values())
 
+    def nearest_first(self, peers: Iterable[Peer]) -> list[Peer]:
+        """Return peers of the own domain first, then those of the region."""
+        return sorted(
+            peers,
+            key=lambda peer: (
+                not self.is_in_own_domain(peer.info),
+                not self.is_in_own_region(peer.info),
+                peer.rank,
+            ),
+        )
+
     def is_in_own_region(self, info: NodeInfo) -> bool:
         """Return whether a node is in this node's region."""
         return info.region == self.own.region
