Authenticate requests by the keys of workspaces

Change: workspaces with keys, priority and homes; public and download routes; a resource that can't be read costs that resource, and is logged once a version. Keys are looked up by digest, at arrival, at each placement and right before each send; where removed keys must end in time, only while the configuration is known to be recent. Deployments without workspaces pass all headers on as before.

--- a/packages/bilberry_resources/src/bilberry_resources/routing.py
+++ b/packages/bilberry_resources/src/bilberry_resources/routing.py
@@ -1,4 +1,4 @@
-"""Versioned routing configuration: routes, upstream pools and limits."""
+"""Versioned routing configuration: routes, workspaces, pools and limits."""
 
 from dataclasses import dataclass, field
 
@@ -18,7 +18,8 @@
     `target_latency_ms` is the latency objective. `priority` 0 is the highest.
     `max_attempts` limits the upstreams to which one request may be sent.
     With `sticky` an upstream is faster for an object that it had lately.
-    An empty `home_regions` allows every region.
+    An empty `home_regions` allows every region. A `public` route needs no
+    key. One that isn't `valid` could be read only in part, and serves nothing.
     """
 
     name: str
@@ -32,6 +33,38 @@
     priority: int = 0
     sticky: bool = False
     home_regions: frozenset[str] = frozenset()
+    public: bool = False
+    valid: bool = True
+
+
+@dataclass(slots=True, frozen=True)
+class Workspace:
+    """Define who may send requests with which keys, and how many.
+
+    Only digests of the keys are kept. A `priority` goes before that of the
+    route. `rate_per_s` and `burst` limit the requests through all nodes; a
+    rate of 0 is no limit. An empty `home_regions` allows every region.
+    """
+
+    name: str
+    key_digests: frozenset[bytes]
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    home_regions: frozenset[str] = frozenset()
+
+
+@dataclass(slots=True, frozen=True)
+class ResourceProblem:
+    """Tell what is wrong with one resource of a configuration."""
+
+    resource: str
+    name: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return the problem as text."""
+        return f"{self.resource} {self.name}: {self.reason}"
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,9 +94,18 @@
 
 @dataclass(slots=True, frozen=True)
 class RoutingConfig:
-    """Represent one complete version of the routing configuration."""
+    """Represent one complete version of the routing configuration.
+
+    With `requires_keys`, requests on routes that aren't public need the key
+    of a workspace. `problems` lists the resources that could not be read, and
+    `has_unknown_routes` is set if not even the paths of some are known.
+    """
 
     version: int
     routes: tuple[RouteRule, ...] = ()
     pools: dict[str, PoolConfig] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
+    workspaces: tuple[Workspace, ...] = ()
+    requires_keys: bool = False
+    has_unknown_routes: bool = False
+    problems: tuple[ResourceProblem, ...] = ()
--- a/packages/bilberry_router/src/bilberry_router/entry/active_request.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/active_request.py
@@ -12,6 +12,7 @@
 from .attempt import ExchangeOutcome
 from .liveness import CrashWitness
 from .messages import EntryAnswer, EntryRequest
+from .permits import Denial
 from .placer import PlacementRequest, is_always_current
 from .state import EntryState
 
@@ -27,7 +28,10 @@
     is the smallest of them. A trial has a `witness`, and avoids
     `trial_excluded` upstreams. `upstream_error` is an upstream's answer with
     a server error, which is the final answer if no other attempt can be made;
-    `held_error` counts its bytes meanwhile.
+    `held_error` counts its bytes meanwhile. `route` is the rule without what
+    the workspace changes. It `hides_key` from upstreams if the configuration
+    asks for keys, or did since it arrived. A `denial` is why it may not run
+    by the newest configuration.
     """
 
     request: EntryRequest
@@ -41,6 +45,7 @@
     config_version: int
     idempotent: bool
     max_attempts: int
+    route: RouteRule
     attempts: int = 0
     first_sent_ms: int = -1
     last_sent_ms: int = -1
@@ -51,6 +56,9 @@
     witness: CrashWitness | None = None
     trial_excluded: set[str] = field(default_factory=set)
     known_fingerprint: str = ""
+    workspace: str = ""
+    hides_key: bool = False
+    denial: Denial | None = None
 
     def fingerprint(self) -> str:
         """Return the fingerprint that all repeats of this request share.
--- a/packages/bilberry_router/src/bilberry_router/entry/answers.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/answers.py
@@ -5,6 +5,7 @@
 from bilberry_balance.outcomes import FailureDecision
 from bilberry_core.const import HEADER_RETRY_AFTER, MS_PER_SECOND
 
+from .active_request import ActiveRequest
 from .attempt import ExchangeOutcome
 from .const import NOT_RUN_STATUSES
 from .heads import answer_headers
@@ -27,6 +28,17 @@
     return answer
 
 
+def unplaced_answer(
+    active: ActiveRequest, reason: str, retry_after_ms: int
+) -> EntryAnswer:
+    """Return the final answer if no upstream could be selected."""
+    if active.upstream_error is not None:
+        return active.upstream_error
+    if active.may_have_run:
+        return local_answer(HTTPStatus.BAD_GATEWAY, "the answer was lost")
+    return refusal_answer(reason, retry_after_ms)
+
+
 def failure_answer(
     outcome: ExchangeOutcome, decision: FailureDecision, retry_after_ms: int
 ) -> EntryAnswer:
--- a/packages/bilberry_router/src/bilberry_router/entry/events.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/events.py
@@ -66,6 +66,7 @@
     arrived_version: int = 0
     homes: list[str] = []
     regions: list[str] = []
+    workspace: str = ""
 
     def text(self) -> str:
         """Return the event as a sentence."""
@@ -77,7 +78,7 @@
             f"at [{','.join(self.upstreams)}], load {self.load} of {self.slots}; "
             f"arrived in version {self.arrived_version}, last sent after "
             f"{self.last_sent_ms} ms to [{','.join(self.regions)}], "
-            f"homes [{','.join(self.homes)}]."
+            f"homes [{','.join(self.homes)}], workspace [{self.workspace}]."
         )
 
 
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -10,6 +10,7 @@
 from bilberry_steering.route_table import RouteEntry
 
 from ..http.head import RequestHead
+from .access import AccessControl
 from .accounts import OutcomeRecorder
 from .active_request import (
     ActiveRequest,
@@ -25,6 +26,7 @@
     failure_answer,
     forwarded_answer,
     refusal_answer,
+    unplaced_answer,
 )
 from .attempt import Attempt, ExchangeOutcome
 from .connections import ConnectionPool
@@ -37,6 +39,7 @@
 from .crash_evidence import CrashEvidence
 from .heads import encode_request_head
 from .messages import EntryAnswer, EntryRequest, HeaderNames, local_answer
+from .permits import Permit
 from .placer import PlacementRequest, Placer, Unplaced
 from .rate_limit_log import RateLimitLog
 from .request_log import RequestLog
@@ -58,6 +61,7 @@
     """
 
     __slots__ = (
+        "access",
         "connections",
         "crash_evidence",
         "header_names",
@@ -90,7 +94,8 @@
         self.rate_limit_log = RateLimitLog(state.clock)
         self.request_log = RequestLog(state, placer)
         self.retry_decisions = RetryDecisions(state)
-        self.route_updates = RouteUpdates(state)
+        self.access = AccessControl(state)
+        self.route_updates = RouteUpdates(state, self.access)
         self.suspects = EntrySuspects(state.node, state.clock)
         self.crash_evidence = CrashEvidence(state, self.suspects, header_names)
         self.suspect_placement = SuspectPlacement(placer, self.crash_evidence)
@@ -112,10 +117,11 @@
             return self.count_answer(request, answer)
         entry = self.find_route(request.head)
         if entry is None:
-            return self.count_answer(
-                request, local_answer(HTTPStatus.NOT_FOUND, "no route")
-            )
-        active = self.start_request(request, entry)
+            return self.count_answer(request, self.access.refuse_unmatched())
+        permit = self.access.decide(request.head, entry.rule)
+        if not isinstance(permit, Permit):
+            return self.count_answer(request, self.access.refuse(permit))
+        active = self.start_request(request, entry, permit)
         try:
             answer = self.forward(active)
         finally:
@@ -145,10 +151,12 @@
         self.state.counts.record_answer(service, answer, took_ms)
         return answer
 
-    def start_request(self, request: EntryRequest, entry: RouteEntry) -> ActiveRequest:
+    def start_request(
+        self, request: EntryRequest, entry: RouteEntry, permit: Permit
+    ) -> ActiveRequest:
         """Return the state of a new request on a route."""
         head = request.head
-        rule = entry.rule
+        rule = permit.rule
         key = head.first(self.header_names.affinity.lower()) if rule.sticky else None
         active = ActiveRequest(
             request,
@@ -162,6 +170,9 @@
             self.state.config_version,
             rule.idempotent,
             rule.max_attempts,
+            entry.rule,
+            workspace=permit.workspace_name,
+            hides_key=self.access.requires_keys(),
         )
         self.state.retry_budget(active.service).on_request(request.arrived_ms)
         return active
@@ -179,9 +190,7 @@
         while True:
             placed = self.suspect_placement.place(active, self.place)
             if isinstance(placed, SuspectRefusal):
-                return self.unplaced_answer(
-                    active, placed.detail, placed.retry_after_ms
-                )
+                return unplaced_answer(active, placed.detail, placed.retry_after_ms)
             if isinstance(placed, EntryAnswer):
                 return placed
             record = self.attempt(active, placed)
@@ -217,19 +226,25 @@
             placed = Refusal(DRAINING_RETRY_MS)
         if is_gone:
             return local_answer(HTTPStatus.BAD_REQUEST, "the caller is gone")
+        if isinstance(placed, EntryAnswer):
+            return placed
         if isinstance(placed, Refusal):
             retry_after_ms = spread_retry_after_ms(
                 placed.retry_after_ms, active.request_id
             )
-            return self.unplaced_answer(active, "no room", retry_after_ms)
+            return unplaced_answer(active, "no room", retry_after_ms)
         return placed
 
-    def wait_for_upstream(self, active: ActiveRequest) -> Selection | Refusal:
+    def wait_for_upstream(
+        self, active: ActiveRequest
+    ) -> Selection | Refusal | EntryAnswer:
         """Return what the placer decides by the newest configuration."""
         while True:
-            placed = self.placer.place(
-                self.current_placement(active), disconnect_hook(active)
-            )
+            request = self.current_placement(active)
+            refused = self.access.refuse_waiting(active)
+            if refused is not None:
+                return refused
+            placed = self.placer.place(request, disconnect_hook(active))
             if not isinstance(placed, Unplaced):
                 return placed
 
@@ -248,6 +263,8 @@
             return False
         if not self.route_updates.is_current(active):
             return False
+        if not self.access.may_still_run(active):
+            return False
         if self.state.clock.now_ms() < upstream.refuses_until_ms:
             return False
         return self.state.upstreams.accepts_requests(upstream)
@@ -259,7 +276,11 @@
         if active.first_sent_ms < 0:
             active.first_sent_ms = active.last_sent_ms
         return encode_request_head(
-            active.request, upstream, active.remaining_ms(now_ms), self.header_names
+            active.request,
+            upstream,
+            active.remaining_ms(now_ms),
+            self.header_names,
+            active.workspace if active.hides_key else None,
         )
 
     def ends_too_late(self, selection: Selection) -> bool:
@@ -345,16 +366,6 @@
         processing_times = self.state.processing_times(active.rule, active.service)
         self.outcome_recorder.record(selection, outcome, processing_times, sent_at_ms)
 
-    def unplaced_answer(
-        self, active: ActiveRequest, reason: str, retry_after_ms: int
-    ) -> EntryAnswer:
-        """Return the final answer if no upstream could be selected."""
-        if active.upstream_error is not None:
-            return active.upstream_error
-        if active.may_have_run:
-            return local_answer(HTTPStatus.BAD_GATEWAY, "the answer was lost")
-        return refusal_answer(reason, retry_after_ms)
-
     def retry_after_ms(self, active: ActiveRequest) -> int:
         """Return when a request that an upstream refused may come back.
 
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -34,6 +34,7 @@
 from bilberry_fleet.discovery.heartbeats import HeartbeatTask
 from bilberry_fleet.discovery.messages import DomainSummary, Heartbeat, NodeInfo
 from bilberry_fleet.discovery.nodes import PeerTable
+from bilberry_fleet.discovery.proof_calls import ProofCalls
 from bilberry_fleet.discovery.source import Changes, Record, Snapshot
 from bilberry_fleet.discovery.store_era import StoreEra
 from bilberry_fleet.discovery.suspect_calls import SuspectCalls
@@ -64,6 +65,7 @@
         "node_info",
         "peers",
         "platform",
+        "proof_calls",
         "records",
         "state",
         "store_era",
@@ -101,6 +103,12 @@
             self.on_heartbeat,
             self.on_summary,
         )
+        self.proof_calls = ProofCalls(
+            state.config_proof,
+            self.heartbeats,
+            state.clock,
+            stable_hash(node_info.run_id),
+        )
         calls = SuspectCalls(self.heartbeats, suspects.answer_call)
         suspects.peers = SuspectPeers(self.peers, calls)
 
--- a/packages/bilberry_router/src/bilberry_router/entry/messages.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/messages.py
@@ -17,7 +17,8 @@
     waiting requests and slots, and `not_run` means that nothing ran.
     `rate_limit` is how many requests a second an upstream takes from all
     nodes together, and `leaving` tells that it will stop. `upstream_id` names
-    the upstream in answers about its health.
+    the upstream in answers about its health, and `workspace` the workspace of
+    a request.
     """
 
     request_id: str
@@ -30,6 +31,7 @@
     rate_limit: str
     leaving: str
     upstream_id: str
+    workspace: str
 
 
 @dataclass(slots=True)
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -99,6 +99,13 @@
             warmth=placement.warmth.name.lower(),
             distance=placement.distance,
         )
+    for reason, number in counts.denials.items():
+        metrics.set_counter(
+            "bilberry_entry_denied_total",
+            "Requests that no workspace may send now, by the reason.",
+            number,
+            reason=reason,
+        )
     for traffic, size in counts.bytes.items():
         metrics.set_counter(
             "bilberry_entry_bytes_total",
@@ -190,6 +197,13 @@
         "Version of the installed configuration.",
         state.config_version,
     )
+    proof_age_ms = state.config_proof.age_ms()
+    if proof_age_ms is not None:
+        metrics.set_gauge(
+            "bilberry_config_proof_age_ms",
+            "Time since when the configuration is known to be the newest.",
+            proof_age_ms,
+        )
     for feed in inputs.membership.feeds:
         if feed.last_answer_ms is not None:
             metrics.set_gauge(
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -63,6 +63,7 @@
 
     __slots__ = (
         "clock",
+        "config_listener",
         "connections",
         "draining",
         "entry_listener",
@@ -119,10 +120,16 @@
             self.state.selector.ranks.clear,
         )
         self.evacuation_listener = NamesListener(self.evacuate, clock)
+        self.config_listener = ConfigListener(
+            platform.kinds.config_name, platform.decode_config, self.install
+        )
         self.feeds = self._feeds(stable_hash(name))
         self.standstills = StandstillMonitor(clock, EXPIRY_INTERVAL_MS)
         self.forwarder.rereads = self.rereads = self._rereads()
         self.membership.feeds = self.feeds
+        config_feed = self.feeds[0]
+        config_feed.on_exact_read = self.record_config_read
+        self.membership.proof_calls.feed = config_feed
         self.entry_listener = Listener(
             addresses.entry,
             self.forwarder,
@@ -209,10 +216,17 @@
             self.state.peer_loads.expire(now_ms)
             self.state.adjust_rate_limits(now_ms)
             self.state.update_open_regions()
+            if self.forwarder.access.needs_proof():
+                self.membership.proof_calls.renew(now_ms)
             self.forwarder.suspects.update_members(self.is_known())
             for feed in self.feeds:
                 feed.catch_up_if_behind(now_ms)
 
+    def record_config_read(self, began_ms: int) -> None:
+        """Record that an exact read showed the newest configuration."""
+        if self.config_listener.is_current:
+            self.state.config_proof.record(began_ms)
+
     def set_memory_limit(self, memory_bytes: int) -> None:
         """Set the memory that this process may use."""
         self.entry_listener.request_memory.set_limit(memory_bytes)
@@ -222,6 +236,7 @@
         installed = self.state.install(config)
         if installed:
             self.upstream_listener.pools = config.pools
+            self.membership.proof_calls.version = config.version
         return installed
 
     def evacuate(self, domains: frozenset[str]) -> None:
@@ -243,11 +258,8 @@
     def _feeds(self, seed: int) -> list[Feed]:
         breaker = StoreBreaker(seed, self.upstream_listener.record_recovery)
         kinds = self.platform.kinds
-        config = ConfigListener(
-            kinds.config_name, self.platform.decode_config, self.install
-        )
         listeners: list[tuple[str, FeedListener]] = [
-            (kinds.config, config),
+            (kinds.config, self.config_listener),
             (kinds.upstreams, self.upstream_listener),
             (kinds.evacuations, self.evacuation_listener),
             (kinds.nodes, self.membership),
--- a/packages/bilberry_router/src/bilberry_router/entry/request_log.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/request_log.py
@@ -57,6 +57,7 @@
             arrived_version=active.arrived_version,
             homes=sorted(active.rule.home_regions),
             regions=sorted(active.tried_regions),
+            workspace=active.workspace,
         )
         log_event(active.request_id, event)
 
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from bilberry_balance.authentication import KeyTable
 from bilberry_balance.placement.cold_rate_limiter import ColdRateLimiter
 from bilberry_balance.placement.directory import UpstreamDirectory
 from bilberry_balance.placement.distances import Location
@@ -13,6 +14,7 @@
 from bilberry_balance.retry_window import RetryWindow
 from bilberry_core.clock import Clock
 from bilberry_core.ids import stable_hash
+from bilberry_fleet.discovery.config_proof import ConfigProof
 from bilberry_resources.routing import (
     CallerLimits,
     PoolConfig,
@@ -34,7 +36,8 @@
     Retries of a service are limited to `retry_fraction`, a fraction of its
     requests, plus `retry_slack`, in any `retry_window_ms`. `max_region_shift`
     is the largest fraction of a region's requests that may change region in
-    2 s.
+    2 s. Keys that were taken away stop to work after `revoke_ms` at all nodes;
+    0 is no limit.
     """
 
     retry_fraction: float
@@ -42,6 +45,7 @@
     retry_window_ms: int
     max_region_shift: float
     stop_grace_ms: int
+    revoke_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -60,6 +64,8 @@
     selector: UpstreamSelector = field(init=False)
     region_share_limiter: RegionShareLimiter = field(init=False)
     restarts: RestartTracker = field(init=False)
+    config_proof: ConfigProof = field(init=False)
+    keys: KeyTable = field(default_factory=KeyTable)
     route_times: dict[str, ProcessingTimes] = field(default_factory=dict)
     retry_budgets: dict[str, RetryWindow] = field(default_factory=dict)
     counts: EntryCounts = field(default_factory=EntryCounts)
@@ -68,6 +74,7 @@
     def __post_init__(self) -> None:
         """Create the components."""
         self.routes = RouteTable(stable_hash(self.node))
+        self.config_proof = ConfigProof(self.clock, self.shared_limits.revoke_ms)
         self.cold_rate_limiter = ColdRateLimiter(self.node)
         self.rate_limiter = RateLimiter(self.node)
         self.upstreams = UpstreamDirectory(self.cold_rate_limiter)
@@ -104,7 +111,10 @@
 
     def install(self, config: RoutingConfig) -> bool:
         """Install a configuration if it is newer; return whether it was."""
-        return self.routes.install(config)
+        if not self.routes.install(config):
+            return False
+        self.keys.install(config.workspaces)
+        return True
 
     def processing_times(self, rule: RouteRule, service: str) -> ProcessingTimes:
         """Return the processing times of a route at a service."""
@@ -189,6 +199,7 @@
     def set_shared_limits(self, shared_limits: SharedLimits) -> None:
         """Apply changed limits."""
         self.shared_limits = shared_limits
+        self.config_proof.revoke_ms = shared_limits.revoke_ms
         self.region_share_limiter.set_max_share(shared_limits.max_region_shift)
         self.retry_budgets.clear()
 
--- a/packages/bilberry_router/src/bilberry_router/entry/suspect_peers.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/suspect_peers.py
@@ -4,7 +4,7 @@
 
 from bilberry_balance.suspects import SuspectReport
 from bilberry_fleet.discovery.messages import SuspectReply, TrialRequest
-from bilberry_fleet.discovery.nodes import Peer, PeerTable
+from bilberry_fleet.discovery.nodes import PeerTable
 from bilberry_fleet.discovery.suspect_calls import SuspectCalls
 
 PEERS_ASKED_FOR_ALL = 3
@@ -58,7 +58,7 @@
 
         Return their replies.
         """
-        peers = self._nearest_first()
+        peers = self.peers.nearest_first(self.peers.peers.values())
         count = min(PEERS_ASKED_FOR_ALL, len(peers))
         start = self.next_asked % max(1, len(peers))
         self.next_asked += count
@@ -69,16 +69,6 @@
         gevent.joinall(jobs)
         return [job.value for job in jobs if job.value is not None]
 
-    def _nearest_first(self) -> list[Peer]:
-        return sorted(
-            self.peers.peers.values(),
-            key=lambda peer: (
-                not self.peers.is_in_own_domain(peer.info),
-                not self.peers.is_in_own_region(peer.info),
-                peer.rank,
-            ),
-        )
-
 
 class NoPeers:
     """Stand for the peers of a node that is alone."""
--- a/packages/bilberry_testing/src/bilberry_testing/machines/objects.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/objects.py
@@ -57,6 +57,12 @@
     return {"resource_kind": "routes", "metadata": {"name": name}, "spec": spec}
 
 
+def workspace_spec(name: str, keys: list[str], **fields: Any) -> Spec:
+    """Return a workspace with its keys."""
+    spec = {"api_keys": keys, "priority": 0, "home_regions": [], **fields}
+    return {"resource_kind": "tenants", "metadata": {"name": name}, "spec": spec}
+
+
 def upstream_entry(
     address: str, slots: int, zone: str = "mtl-a", born: int = 1, service: str = "s"
 ) -> Spec:
--- a/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
@@ -15,6 +15,7 @@
 from bilberry_router.http.connection import Connection, ConnectionLostError
 from bilberry_router.http.const import END_OF_HEAD
 from bilberry_router.http.head import RequestHead, parse_head
+from bilberry_router.http.messages import Headers
 
 READ_TIMEOUT_MS = 60_000
 PATH_HEALTH = "/healthz"
@@ -32,6 +33,7 @@
     body: bytes
     timeout_ms: int
     key: str
+    headers: Headers
     answer_complete: bool = False
 
 
@@ -238,6 +240,7 @@
             body,
             int(head.first(names.timeout.lower()) or 0),
             head.first(names.affinity.lower()) or "",
+            head.headers,
         )
         self.served_requests.append(served)
         if self.on_run is not None:
--- a/tests/bilberry_router/entry/common.py
+++ b/tests/bilberry_router/entry/common.py
@@ -38,6 +38,7 @@
     rate_limit="X-Rate-Limit",
     leaving="X-Leaving",
     upstream_id="X-Upstream",
+    workspace="X-Workspace",
 )
 SHARED_LIMITS = SharedLimits(
     retry_fraction=0.2,
