--- a/packages/bilberry_testing/src/bilberry_testing/machines/objects.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/objects.py
@@ -40,7 +40,7 @@
 
 
 def config_of(version: int, routes: list[Spec], **limits: Any) -> Spec:
-    """Return a configuration of given routes with one service."""
+    """Return a configuration of routes and workspaces with one service."""
     service = {"resource_kind": "services", "metadata": {"name": "s"}, "spec": POOL}
     bounds = {
         "resource_kind": "limits",
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -16,6 +16,7 @@
     route_spec,
     upstream_entry,
     upstream_status,
+    workspace_spec,
 )
 from bilberry_testing.machines.store import StoreServer
 from bilberry_testing.machines.table import ObjectTable
@@ -67,6 +68,7 @@
 retry_budget_ratio = 0.2
 retry_budget_slack = 60
 max_region_shift = 0.15
+{bounds}
 [platform]
 address = "{store}"
 """
@@ -118,10 +120,19 @@
 
 
 class Deployment:
-    """Manage all parts of a run, and record what the operator does."""
+    """Manage all parts of a run, and record what the operator does.
+
+    `workspaces` maps their names to their keys. `bounds` are further lines of
+    that table in the nodes' settings.
+    """
 
     def __init__(
-        self, directory: Path, nodes: int, upstreams: int, network: int
+        self,
+        directory: Path,
+        nodes: int,
+        upstreams: int,
+        network: int,
+        bounds: str = "",
     ) -> None:
         self.directory = directory
         self.clock = SystemClock()
@@ -131,6 +142,8 @@
         self.upstreams: dict[str, SoakUpstream] = {}
         self.counts = (nodes, upstreams)
         self.network = network
+        self.bounds = bounds
+        self.workspaces: dict[str, list[str]] = {}
         self.version = 0
         self.extra_routes = 0
         self.sequence = 0
@@ -184,6 +197,7 @@
                 ready=READY_PORT,
                 directory=DIRECTORY_PORT,
                 grace=GRACE_S,
+                bounds=self.bounds,
                 store=link.address,
             )
         )
@@ -277,7 +291,10 @@
             route_spec(f"extra-{index}", f"/v{self.version}-{index}/")
             for index in range(self.extra_routes)
         ]
-        self.store.table.put(KIND_CONFIG, "main", config_of(self.version, routes))
+        resources = routes + [
+            workspace_spec(name, keys) for name, keys in self.workspaces.items()
+        ]
+        self.store.table.put(KIND_CONFIG, "main", config_of(self.version, resources))
         self.store.notify()
         now_ms = self.clock.now_ms()
         if self.history.versions:
