--- a/packages/bilberry_resources/src/bilberry_resources/routing.py
+++ b/packages/bilberry_resources/src/bilberry_resources/routing.py
@@ -1,6 +1,7 @@
 """Versioned routing configuration: routes, workspaces, pools and limits."""
 
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,6 +21,7 @@
     With `sticky` an upstream is faster for an object that it had lately.
     An empty `home_regions` allows every region. A `public` route needs no
     key. One that isn't `valid` could be read only in part, and serves nothing.
+    `unweighted` are services of its split whose weight isn't positive.
     """
 
     name: str
@@ -35,6 +37,7 @@
     home_regions: frozenset[str] = frozenset()
     public: bool = False
     valid: bool = True
+    unweighted: tuple[WeightedService, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -54,17 +57,33 @@
     home_regions: frozenset[str] = frozenset()
 
 
+class Severity(StrEnum):
+    """Define whether a problem costs requests or is only useless."""
+
+    ERROR = "error"
+    WARNING = "warning"
+
+
 @dataclass(slots=True, frozen=True)
-class ResourceProblem:
-    """Tell what is wrong with one resource of a configuration."""
+class ConfigProblem:
+    """Tell what is wrong with one resource of a configuration.
+
+    `index` is the resource's place in the stored list and `field` the path of
+    the field that can't be read, as far as they are known.
+    """
 
+    severity: Severity
     resource: str
     name: str
-    reason: str
+    message: str
+    index: int | None = None
+    field: str = ""
 
     def __str__(self) -> str:
         """Return the problem as text."""
-        return f"{self.resource} {self.name}: {self.reason}"
+        resource = f"{self.resource} {self.name}".strip()
+        field = f"{self.field}: " if self.field else ""
+        return f"{resource}: {field}{self.message}"
 
 
 @dataclass(slots=True, frozen=True)
@@ -108,4 +127,4 @@
     workspaces: tuple[Workspace, ...] = ()
     requires_keys: bool = False
     has_unknown_routes: bool = False
-    problems: tuple[ResourceProblem, ...] = ()
+    problems: tuple[ConfigProblem, ...] = ()
