Log what the check of an installed configuration finds

Missing: nodes logged unreadable resources of a version, but not what is useless or contradictory in it. Change: each installed version is checked once, in a greenlet that starts after the install and yields before each check. At most 20 problems of a version are logged, unreadable resources first, and a newer version ends the check of the last. The share of retries is that of the node's settings. Checks that need upstreams are left out, as upstreams come and go.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/config.py
@@ -6,12 +6,12 @@
 from bilberry_core.outcome import Failure, Result
 from bilberry_resources.routing import RoutingConfig
 
+from .config_warnings import ConfigWarnings
 from .source import Changes, Record, Snapshot
 
 _LOGGER = logging.getLogger(__name__)
 
 ConfigDecoder = Callable[[Record], Result[RoutingConfig, str]]
-MAX_LOGGED_PROBLEMS = 20
 
 
 class ConfigListener:
@@ -21,7 +21,7 @@
     store that has come back from a copy may have an older one.
     """
 
-    __slots__ = ("decode", "install", "is_current", "name", "version")
+    __slots__ = ("decode", "install", "is_current", "name", "version", "warnings")
 
     def __init__(
         self,
@@ -34,6 +34,7 @@
         self.install = install
         self.version: int | None = None
         self.is_current = False
+        self.warnings = ConfigWarnings()
 
     def on_snapshot(self, snapshot: Snapshot) -> bool:
         """Install the configuration in the snapshot, if it is newer."""
@@ -78,6 +79,7 @@
         if is_newer:
             self.version = config.version
             _log_installed(config)
+            self.warnings.start(config)
         self.is_current = config.version == self.version
         return is_newer
 
@@ -88,10 +90,3 @@
         config.version,
         len(config.routes),
     )
-    for problem in config.problems[:MAX_LOGGED_PROBLEMS]:
-        _LOGGER.warning("discovery: Version %s, %s.", config.version, problem)
-    left_out = len(config.problems) - MAX_LOGGED_PROBLEMS
-    if left_out > 0:
-        _LOGGER.warning(
-            "discovery: Version %s has %s more problems.", config.version, left_out
-        )
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -123,6 +123,7 @@
         self.config_listener = ConfigListener(
             platform.kinds.config_name, platform.decode_config, self.install
         )
+        self.config_listener.warnings.retry_share = self.retry_share
         self.feeds = self._feeds(stable_hash(name))
         self.standstills = StandstillMonitor(clock, EXPIRY_INTERVAL_MS)
         self.forwarder.rereads = self.rereads = self._rereads()
@@ -197,6 +198,7 @@
         self.membership.close()
         for feed in self.feeds:
             feed.close()
+        self.config_listener.warnings.close()
         self.placer.close()
         self.rereads.close()
         if self.task is not None:
@@ -227,6 +229,10 @@
         if self.config_listener.is_current:
             self.state.config_proof.record(began_ms)
 
+    def retry_share(self) -> float:
+        """Return how many retries may be made for each request."""
+        return self.state.shared_limits.retry_fraction
+
     def set_memory_limit(self, memory_bytes: int) -> None:
         """Set the memory that this process may use."""
         self.entry_listener.request_memory.set_limit(memory_bytes)
--- a/tests/bilberry_platform/test_discovery.py
+++ b/tests/bilberry_platform/test_discovery.py
@@ -3,6 +3,8 @@
 This covers outages, lost history, invalid entries and restarts.
 """
 
+from dataclasses import replace
+
 import gevent
 import pytest
 
@@ -10,7 +12,13 @@
 from bilberry_fleet.discovery.const import REREGISTRATION_GRACE_MS
 from bilberry_platform.store import StoreClient
 from bilberry_store.errors import StoreErrorKind
-from bilberry_testing.machines.objects import config_spec, upstream_entry
+from bilberry_testing.machines.objects import (
+    config_of,
+    config_spec,
+    route_spec,
+    upstream_entry,
+    workspace_spec,
+)
 from bilberry_testing.machines.store import StoreServer
 
 from ..bilberry_fleet.discovery.common import UNUSED_PROGRESS
@@ -47,6 +55,22 @@
         assert fetch(node.entry_listener, "/read/x").status == 200
 
 
+def test_a_node_logs_what_is_useless_in_a_version_without_keys(caplog):
+    """Guards against nodes that judge by other bounds than their own."""
+    with Deployment() as deployment:
+        node = deployment.node()
+        bounds = replace(node.state.shared_limits, retry_fraction=0.05)
+        node.state.set_shared_limits(bounds)
+        spec = config_of(9, [route_spec("read", "/read/", max_attempts=5)])
+        spec["resources"].append(workspace_spec("w", ["key-1"], burst=3))
+        deployment.write("config", "main", spec)
+        eventually(lambda: "a burst of 3 without a rate" in caplog.text)
+        lines = [text for text in caplog.messages if "Version 9" in text]
+        assert len(lines) == 2
+        assert "a retry budget of 0.05" in lines[0]
+        assert "key-1" not in caplog.text
+
+
 def test_draining_and_removed_upstreams_get_no_new_requests():
     with Deployment() as deployment:
         node = deployment.node()
