Add `bilberryctl check` for stored configurations

Missing: an operator learnt of a fault in a configuration only from the nodes that had installed it. Change: `check FILE` reads a stored object or its spec offline, names syntax errors by line and column and problems by line, index and field, and ends with 1 on errors and 2 if nothing can be decoded. `--against` compares with a file or http URL, and refuses a version that isn't newer. The format is decoded by a module that is imported by name, as only the platform's folder knows the names on the wire.

--- a/packages/bilberry_ctl/src/bilberry_ctl/cli.py
+++ b/packages/bilberry_ctl/src/bilberry_ctl/cli.py
@@ -11,6 +11,7 @@
 
 from .api import ApiClient, validate_server
 from .commands.apply import Apply, Diff
+from .commands.check import Check
 from .commands.drain import Drain, Undrain
 from .commands.explain import Explain
 from .commands.objects import Delete, Describe, Get
@@ -62,6 +63,7 @@
         | Lookup
         | Status
         | Explain
+        | Check
     ]
     server: Annotated[
         str,
