Test what the decoder tells of resources that it can't read

Missing: nothing tested the index, field and severity of an unreadable resource, nor that services without weight are kept apart for the check. Change: two tests of the decoder.

--- a/tests/bilberry_platform/test_decoding.py
+++ b/tests/bilberry_platform/test_decoding.py
@@ -11,6 +11,7 @@
 from bilberry_platform.settings import load_settings
 from bilberry_router.entry.const import DEFAULT_MEMORY_BYTES
 from bilberry_testing.machines.objects import (
+    config_of,
     config_spec,
     route_spec,
     upstream_status,
@@ -281,3 +282,34 @@
     assert decode_query("name=shop.example") is None
     body = encode_addresses(["10.0.0.1:80"], 2_000)
     assert body == b'{"addresses":["10.0.0.1:80"],"ttl_s":2.0}'
+
+
+def test_what_can_not_be_read_is_named_by_index_and_field():
+    """Guards against an operator who searches a list of 1,400 routes."""
+    split = [{"service": "s", "weight": 1}, {"service": "t", "weight": "2"}]
+    fields = config_spec(7)
+    fields["resources"] += [
+        route_spec("odd", "/odd/", traffic_split=split),
+        route_spec("none", "/none/", service=None, traffic_split=[]),
+        route_spec("kind", "/kind/", kind="sometimes"),
+        workspace_spec("w", ["k1", 2]),
+    ]
+    problems = decode_config(record(fields)).unwrap().problems
+    assert [(p.index, p.name, p.field, p.severity.value) for p in problems] == [
+        (3, "odd", "spec.traffic_split[1].weight", "error"),
+        (4, "none", "", "error"),
+        (5, "kind", "", "warning"),
+        (6, "w", "spec.api_keys[1]", "error"),
+    ]
+
+
+def test_services_without_weight_are_kept_apart():
+    """Guards against a service that is taken for one that no route uses."""
+    split = [{"service": s, "weight": w} for s, w in (("s", 1), ("t", 0), ("u", -1))]
+    fields = config_of(7, [route_spec("a", "/a/", service=None, traffic_split=split)])
+    [rule] = decode_config(record(fields)).unwrap().routes
+    assert [part.service for part in rule.services] == ["s"]
+    assert [(part.service, part.weight) for part in rule.unweighted] == [
+        ("t", 0),
+        ("u", -1),
+    ]
