Print the problems of a configuration as lines

Missing: a long problem cut the columns of the table, up to losing severity and line, and a name with control characters reached the terminal. Change: one line each, `FILE:LINE: severity: resource[index] name: problem`, whole and with control characters escaped. A URL without a host is a usage error.

--- a/packages/bilberry_ctl/src/bilberry_ctl/commands/check.py
+++ b/packages/bilberry_ctl/src/bilberry_ctl/commands/check.py
@@ -1,7 +1,7 @@
 """Command `check`, which examines a routing configuration offline."""
 
 from dataclasses import dataclass
-from typing import Annotated, Any
+from typing import Annotated
 
 import cappa
 import msgspec
@@ -22,9 +22,6 @@
 )
 from ..context import Context
 from ..errors import CommandError, command_failed, usage_error
-from ..tables import EMPTY_CELL
-
-COLUMNS = ["SEVERITY", "LINE", "INDEX", "RESOURCE", "NAME", "PROBLEM"]
 
 
 class ReportedProblem(msgspec.Struct):
@@ -189,10 +186,10 @@
     if printer.is_json:
         printer.json(report)
         return
-    if report.problems:
-        printer.table(COLUMNS, [_problem_row(problem) for problem in report.problems])
+    for problem in report.problems:
+        printer.line(_escape(f"{report.file}{_describe(problem)}"))
     for change in report.differences:
-        printer.line(str(change))
+        printer.line(_escape(str(change)))
     if report.against is not None:
         versions = f"from version {report.against_version} to {report.version}"
         printer.line(f"{versions}, resources that differ: {len(report.differences)}")
@@ -204,16 +201,21 @@
     return problem.index is not None, problem.index or 0
 
 
-def _problem_row(problem: ReportedProblem) -> list[Any]:
-    message = problem.message
-    if problem.field:
-        message = f"{problem.field}: {message}"
-    places = [
-        EMPTY_CELL if place is None else str(place)
-        for place in (problem.line, problem.index)
-    ]
-    name = problem.name or EMPTY_CELL
-    return [problem.severity, *places, problem.resource, name, message]
+def _describe(problem: ReportedProblem) -> str:
+    """Return line, severity, resource with index, name, field and message."""
+    line = "" if problem.line is None else f":{problem.line}"
+    index = "" if problem.index is None else f"[{problem.index}]"
+    resource = f"{problem.resource}{index} {problem.name}".strip()
+    field = f"{problem.field}: " if problem.field else ""
+    return f"{line}: {problem.severity}: {resource}: {field}{problem.message}"
+
+
+def _escape(text: str) -> str:
+    """Escape control characters, as names may hold those of a terminal."""
+    return "".join(
+        char if char.isprintable() else char.encode("unicode_escape").decode()
+        for char in text
+    )
 
 
 def _count_severity(problems: list[ConfigProblem], severity: Severity) -> int:
--- a/packages/bilberry_ctl/src/bilberry_ctl/config_source.py
+++ b/packages/bilberry_ctl/src/bilberry_ctl/config_source.py
@@ -102,6 +102,8 @@
         address = f"{parts.hostname}:{parts.port or DEFAULT_HTTP_PORT}"
     except ValueError as error:
         return Failure(usage_error(f"{url}: {error}"))
+    if not parts.hostname:
+        return Failure(usage_error(f"{url}: no host"))
     session = HttpSession(address)
     path = f"{parts.path or '/'}?{parts.query}" if parts.query else parts.path or "/"
     result = session.read("GET", path, timeout_ms=timeout_ms)
--- a/tests/bilberry_ctl/commands/test_check.py
+++ b/tests/bilberry_ctl/commands/test_check.py
@@ -76,7 +76,10 @@
         *("severity", "resource", "name", "message", "field", "index", "line")
     }
     assert run("check", path) == 1
-    assert "spec.home_regions[1]: Expected `str`, got `int`" in run.out
+    assert run.out.splitlines()[2] == (
+        f"{path}:5: error: routes[2] a [b]: spec.home_regions[1]: "
+        "Expected `str`, got `int`"
+    )
 
 
 @pytest.mark.parametrize(
@@ -104,6 +107,13 @@
     assert run("check", "no.such.file") == 2
 
 
+def test_long_and_odd_names_are_printed_whole_and_harmless(run, save):
+    """Guards against cut lines, and names that control a terminal."""
+    name = "n" * 300 + "\x1b[31m"
+    assert run("check", save(config_of(7, [route_spec(name, "/x")]))) == 1
+    assert "n" * 300 + "\\x1b[31m: never matches" in run.out
+
+
 def test_a_module_that_is_no_format_is_a_usage_error(run, save):
     """Guards against a traceback for a wrong module name."""
     assert run("check", save(sound()), "--format", "json") == 2
@@ -164,3 +174,4 @@
     assert "status 404" in run.err
     store.close()
     assert run("check", path, "--against", against) == 2
+    assert run("check", path, "--against", "http://") == 2
