Read load reports of four figures and use the machine's pace

Some services add a fourth figure to X-Server-Load: how long work takes on the machine now, 100 being usual.

Three or four figures are read and further ones ignored, also in health answers. A header that can't be read is counted by its name, and logged once in 10 s for each name with the number of lines left out (LogThrottle). RateLimitLog doesn't share it: that one logs sums of attempts at an interval.

The pace is a factor on the expected times at an upstream from the report on and fades linearly within 600 ms, the length of a slow spell. Of the pace and the slowness that nodes measured the larger one applies, as a peer's report may be due to the same spell. An answer's time is divided by the pace that explains it best between the one known when it was sent and the one that it tells, before the route's mean and the measured slowness learn from it. Paces are bounded to 0.5 to 10, and 0 counts as untold.

--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -4,10 +4,12 @@
 import random
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 from bilberry_core.const import MS_PER_SECOND
 
+from .placement_machines import Machine, MachineModel, Telling
+
 KNOWN_OBJECT_FRACTION = 0.3
 WORK_SPREAD = 0.15
 WAVE_PERIOD_MS = 36_000
@@ -97,6 +99,17 @@
         return self.at_ms <= now_ms < self.end_ms
 
 
+Spell = TypeVar("Spell", SlowSpell, RateLimitSpell, RestartSpell)
+
+
+def spell_of(spell: Spell | None, service: ServiceModel, index: int) -> Spell | None:
+    """Return the spell of a region's `index`-th upstream, if it has any."""
+    if spell is None or spell.service != service.name:
+        return None
+    is_struck = int((index + 1) * spell.share) > int(index * spell.share)
+    return spell if is_struck else None
+
+
 @dataclass(slots=True, frozen=True)
 class DeploymentModel:
     """Describe regions, nodes and load; delays are one-way, in ms.
@@ -115,6 +128,7 @@
     slow_spell: SlowSpell | None = None
     rate_limit_spell: RateLimitSpell | None = None
     restart_spell: RestartSpell | None = None
+    machines: MachineModel | None = None
     cold_per_s: float = 6.0
 
     def load_factor(self, region: str, now_ms: int) -> float:
@@ -162,6 +176,7 @@
     slow_spell: SlowSpell | None = None
     rate_limit_spell: RateLimitSpell | None = None
     restart_spell: RestartSpell | None = None
+    machine: Machine | None = None
     arrivals_ms: list[int] = field(default_factory=list)
     running: int = 0
     waiting: deque[Any] = field(default_factory=deque)
@@ -180,8 +195,20 @@
             self.misses += 1
         if self.slow_spell is not None:
             work *= self.slow_spell.factor_at(now_ms)
+        if self.machine is not None:
+            work *= self.machine.work_factor(now_ms)
         return max(1, int(work))
 
+    def load_report(self, now_ms: int) -> tuple[int, int, float] | None:
+        """Return the running and waiting requests and the pace, as read."""
+        telling = self.machine.model.telling if self.machine else Telling.LOAD
+        if telling is Telling.UNREADABLE:
+            return None
+        pace = 1.0
+        if self.machine is not None and telling is Telling.PACE:
+            pace = self.machine.pace(now_ms)
+        return self.running, len(self.waiting), pace
+
     def rate_limit(self, now_ms: int) -> float | None:
         """Return the limit that an answer names, None without one."""
         spell = self.rate_limit_spell
--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -2,7 +2,6 @@
 
 import random
 from dataclasses import dataclass, field, replace
-from typing import TypeVar
 
 from bilberry_balance.placement.admission import Refusal
 from bilberry_balance.placement.candidates import Selection, UpstreamRequirements
@@ -17,21 +16,19 @@
 
 from .placement_attempt import Grant, SimulatedAttempt
 from .placement_events import EventLoop
+from .placement_machines import Machine
 from .placement_model import (
     Call,
     DeploymentModel,
-    RateLimitSpell,
     RestartSpell,
     ServiceModel,
-    SlowSpell,
     UpstreamModel,
     arrival_gap_ms,
+    spell_of,
 )
 from .placement_node import SimulatedNode, make_node
 from .placement_peers import PeerMessages
 
-Spell = TypeVar("Spell", SlowSpell, RateLimitSpell, RestartSpell)
-
 CLIENT_MS = 2
 QUEUED_PER_SLOT = 3
 OBJECT_SKEW = 0.2
@@ -84,6 +81,8 @@
                 self.specs[name] = UpstreamSpec(
                     name, service.name, name, domain, region, service.slots
                 )
+                machines = self.model.machines
+                rng = random.Random(f"{self.seed} {name}")
                 self.upstreams[name] = UpstreamModel(
                     service,
                     self.rng,
@@ -91,6 +90,7 @@
                     spell_of(self.model.slow_spell, service, index),
                     spell_of(self.model.rate_limit_spell, service, index),
                     spell_of(self.model.restart_spell, service, index),
+                    Machine(machines, rng) if machines else None,
                 )
 
     def run(self, duration_ms: int) -> None:
@@ -273,8 +273,9 @@
             return
         self.free_slot(attempt)
         upstream = self.upstreams[attempt.selection.upstream.name]
-        load = (upstream.running, len(upstream.waiting))
-        limit_per_s = upstream.rate_limit(self.clock.now_ms())
+        now_ms = self.clock.now_ms()
+        load = upstream.load_report(now_ms)
+        limit_per_s = upstream.rate_limit(now_ms)
         self.loop.after(
             self.way_back_ms(attempt), self.answered, attempt, load, limit_per_s
         )
@@ -297,7 +298,7 @@
     def answered(
         self,
         attempt: SimulatedAttempt,
-        load: tuple[int, int],
+        load: tuple[int, int, float] | None,
         limit_per_s: float | None,
     ) -> None:
         """Record an answer at its node and hand it to the caller."""
@@ -307,7 +308,8 @@
         self.end_attempt(attempt)
         node, upstream = attempt.node, attempt.selection.upstream
         times = self.processing_times(node, attempt.call.service)
-        upstream.on_report(*load, now_ms)
+        if load is not None:
+            upstream.on_report(*load, now_ms)
         node.state.restarts.on_answer(upstream, now_ms)
         upstream.rate_limit.on_answer(limit_per_s, now_ms)
         node.keep_connection(upstream)
@@ -315,7 +317,8 @@
         way_ms = distances.round_trip_ms(upstream.spec) + attempt.connect_ms
         is_local = distances.between(upstream.spec) is not Distance.OTHER_REGION
         took_ms = max(0.0, now_ms - attempt.sent_at_ms - way_ms)
-        ratio = times.observe(attempt.selection.warmth, took_ms, is_local)
+        paces = (attempt.selection.pace, upstream.pace.at(now_ms))
+        ratio = times.observe(attempt.selection.warmth, took_ms, is_local, paces)
         upstream.on_processing_time(ratio, now_ms)
         attempt.call.ended_ms = now_ms + CLIENT_MS
         self.start_queued(attempt)
@@ -379,14 +382,6 @@
         self.loop.after(QUEUE_POLL_MS, self.poll_queues, node)
 
 
-def spell_of(spell: Spell | None, service: ServiceModel, index: int) -> Spell | None:
-    """Return the spell of a region's `index`-th upstream, if it has any."""
-    if spell is None or spell.service != service.name:
-        return None
-    is_struck = int((index + 1) * spell.share) > int(index * spell.share)
-    return spell if is_struck else None
-
-
 def run_seconds(model: DeploymentModel, seed: int, seconds: int) -> PlacementSimulation:
     """Return a simulation that has played for some seconds."""
     simulation = PlacementSimulation(model, seed)
--- a/packages/bilberry_balance/src/bilberry_balance/placement/candidates.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/candidates.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from .costs import INFINITE_COST_MS
+from .pace import USUAL_PACE
 from .processing_times import ProcessingTimes, Warmth
 from .upstream import Upstream
 
@@ -28,6 +29,7 @@
 class Selection:
     """Represent a selected upstream and its expected processing time.
 
+    `pace` is that of the upstream's machine, as included in the time.
     `has_region_choice` is whether it might have gone to another region.
     """
 
@@ -35,6 +37,7 @@
     warmth: Warmth
     expected_ms: float
     has_region_choice: bool = True
+    pace: float = USUAL_PACE
 
 
 class NoSelection(StrEnum):
--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -47,6 +47,12 @@
 SLOWNESS_SHARE_MS = 2_000
 MAX_SLOW_FRACTION = 0.5
 
+# How long machines stay slow. The figure that they tell of it is bounded, so
+# that a wrong one neither draws all requests nor repels them for good.
+PACE_FADE_MS = 600
+MIN_PACE = 0.5
+MAX_PACE = 10.0
+
 FAILURES_TO_BLOCK = 3
 FIRST_BLOCK_MS = 200
 MAX_BLOCK_MS = 1_600
--- a/packages/bilberry_balance/src/bilberry_balance/placement/costs.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/costs.py
@@ -41,7 +41,7 @@
 ) -> float:
     """Return the expected processing time of a request in ms."""
     expected_ms = processing_times.expected_ms(warmth, is_local)
-    expected_ms *= upstream.slow_factor(now_ms)
+    expected_ms *= upstream.time_factor(now_ms)
     if upstream.is_cold(now_ms):
         expected_ms *= COLD_PROCESSING_FACTOR
     return expected_ms
@@ -67,7 +67,7 @@
 ) -> float:
     """Return the expected time until a slot of a full upstream is free."""
     known_ms = processing_times.expected_ms(Warmth.KNOWN)
-    return known_ms * upstream.slow_factor(now_ms) / upstream.spec.slots
+    return known_ms * upstream.time_factor(now_ms) / upstream.spec.slots
 
 
 def expected_wait_ms(
--- a/packages/bilberry_balance/src/bilberry_balance/placement/processing_times.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/processing_times.py
@@ -1,5 +1,6 @@
 """Estimate the processing times of a route's requests, without queueing."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -11,6 +12,7 @@
     PROCESSING_TIME_WEIGHT,
     SECOND_RANK_TARGET_FRACTION,
 )
+from .pace import USUAL_PACE, explained_pace
 
 
 class Warmth(IntEnum):
@@ -39,9 +41,15 @@
     mean_ms: float
     count: int = 0
 
-    def observe(self, took_ms: float) -> float:
-        """Update the mean with a time; return its ratio to the old mean."""
+    def observe(self, took_ms: float, paces: Sequence[float]) -> float:
+        """Update the mean with a time; return its ratio to the old mean.
+
+        What the machine's pace explains is left out of both.
+        """
         ratio = took_ms / max(self.mean_ms, 1.0)
+        pace = explained_pace(ratio, paces)
+        took_ms /= pace
+        ratio /= pace
         bounded = min(took_ms, MAX_OBSERVED_RATIO * self.mean_ms)
         weight = 1 / (self.count + INITIAL_OBSERVATIONS)
         change = max(PROCESSING_TIME_WEIGHT, weight) * (bounded - self.mean_ms)
@@ -71,10 +79,19 @@
         times = self.local if is_local else self.distant
         return times[warmth].mean_ms
 
-    def observe(self, warmth: Warmth, took_ms: float, is_local: bool = True) -> float:
-        """Update a mean with a time; return its ratio to the old mean."""
+    def observe(
+        self,
+        warmth: Warmth,
+        took_ms: float,
+        is_local: bool = True,
+        paces: Sequence[float] = (USUAL_PACE,),
+    ) -> float:
+        """Update a mean with a time; return its ratio to the old mean.
+
+        `paces` are those of the machine that were known meanwhile.
+        """
         times = self.local if is_local else self.distant
-        return times[warmth].observe(took_ms)
+        return times[warmth].observe(took_ms, paces)
 
     @property
     def is_measured(self) -> bool:
--- a/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/selector.py
@@ -271,7 +271,8 @@
                 cost_ms += ahead * slot_interval_ms(
                     upstream, requirements.processing_times, now_ms
                 )
-                selection = Selection(upstream, warmth, expected_ms)
+                pace = upstream.pace.at(now_ms)
+                selection = Selection(upstream, warmth, expected_ms, pace=pace)
                 candidates.add(selection, cost_ms + FULL_LOAD_COST_MS * load)
                 if wait_state.is_late and load < LIGHT_LOAD:
                     candidates.lightly_loaded.add(upstream.spec.region)
--- a/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/upstream.py
@@ -21,6 +21,7 @@
     SLOWNESS_SHARE_MS,
     WARM_KEY_TTL_MS,
 )
+from .pace import MachinePace
 from .rate_limit import RateLimit
 
 
@@ -72,9 +73,10 @@
     or its address told, and lasts as long as this incarnation. It wants
     nothing from this node until `refuses_until_ms`.
     `reported_peer_load` is the number of requests of other nodes in its newest
-    load report. `shed_waiting` is how many waited there when it last turned a
-    request away for being full. `unreachable` is set from a failed connect
-    until the next answer; it last answered this node at `answered_at_ms`.
+    load report, and `pace` what that tells of its machine. `shed_waiting` is
+    how many waited there when it last turned a request away for being full.
+    `unreachable` is set from a failed connect until the next answer; it last
+    answered this node at `answered_at_ms`.
     `has_been_slow` is set while peers should know its
     `slow_ratio`, and `observed_at_ms` is when this node last measured it.
     """
@@ -100,6 +102,7 @@
     warm_keys: OrderedDict[str, int] = field(default_factory=OrderedDict)
     shed_waiting: int = 0
     shed_at_ms: int | None = None
+    pace: MachinePace = field(default_factory=MachinePace)
     rate_limit: RateLimit = field(default_factory=RateLimit)
     restart: RestartState = field(default_factory=RestartState)
 
@@ -147,10 +150,11 @@
         """Return whether it has answered this node since a time."""
         return self.answered_at_ms is not None and self.answered_at_ms >= at_ms
 
-    def on_report(self, running: int, waiting: int, now_ms: int) -> None:
+    def on_report(self, running: int, waiting: int, pace: float, now_ms: int) -> None:
         """Record a load report, which includes this node's requests."""
         self.reported_peer_load = max(0, running + waiting - self.in_flight)
         self.reported_at_ms = now_ms
+        self.pace.on_report(pace, now_ms)
 
     def on_answer(self, now_ms: int) -> None:
         """Record a complete answer."""
@@ -234,6 +238,16 @@
         ratio = self.decayed_slow_ratio(now_ms)
         return ratio if ratio >= MIN_SLOW_RATIO else 1.0
 
+    def time_factor(self, now_ms: int) -> float:
+        """Return the factor on expected times, of its pace or slowness.
+
+        What nodes measured may be due to the machine's pace, as told by peers
+        or before the first report of a spell, so that the larger one applies.
+        """
+        pace = self.pace.at(now_ms)
+        slow_factor = self.slow_factor(now_ms)
+        return max(pace, slow_factor) if slow_factor > 1.0 else pace
+
     def is_warm(self, key: str, now_ms: int) -> bool:
         """Return whether this node recently sent it a request for `key`."""
         at_ms = self.warm_keys.get(key)
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -8,19 +8,11 @@
 from bilberry_balance.placement.distances import Distance
 from bilberry_balance.placement.processing_times import ProcessingTimes
 from bilberry_balance.placement.upstream import Upstream
-from bilberry_core.outcome import Failure
 
 from .attempt import ExchangeOutcome
-from .messages import HeaderNames
-from .rate_limit_log import log_rate_limit
 from .state import EntryState
-from .upstream_headers import (
-    LoadReport,
-    is_leaving,
-    read_load,
-    read_rate_limit,
-    read_retry_after_ms,
-)
+from .upstream_headers import LoadReport
+from .upstream_reports import UpstreamReports
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -36,11 +28,11 @@
 class OutcomeRecorder:
     """Apply the outcomes of attempts to the state of upstreams."""
 
-    __slots__ = ("header_names", "state")
+    __slots__ = ("reports", "state")
 
-    def __init__(self, state: EntryState, header_names: HeaderNames) -> None:
+    def __init__(self, state: EntryState, reports: UpstreamReports) -> None:
         self.state = state
-        self.header_names = header_names
+        self.reports = reports
 
     def record(
         self,
@@ -55,9 +47,11 @@
         point = outcome.point
         if outcome.connect_ms is not None:
             self.state.selector.distances.observe(upstream.spec, outcome.connect_ms)
-        load = self._record_load(upstream, outcome, now_ms)
-        if point is None or point is FailurePoint.SHED_NOT_RUN:
-            self._record_wishes(upstream, outcome, now_ms)
+        load = None
+        if outcome.parser is not None:
+            load = self.reports.record_load(upstream, outcome.parser)
+            if point is None or point is FailurePoint.SHED_NOT_RUN:
+                self.reports.record_wishes(upstream, outcome.parser)
         if point is None:
             self.state.restarts.on_answer(upstream, now_ms)
             self._record_processing_time(
@@ -119,14 +113,18 @@
             return
         if selection.upstream.is_cold(now_ms):
             return
-        spec = selection.upstream.spec
+        upstream = selection.upstream
+        spec = upstream.spec
         distances = self.state.selector.distances
         way_ms = distances.round_trip_ms(spec) + (outcome.connect_ms or 0)
         is_local = distances.between(spec) is not Distance.OTHER_REGION
         ratio = processing_times.observe(
-            selection.warmth, max(0.0, took_ms - way_ms), is_local
+            selection.warmth,
+            max(0.0, took_ms - way_ms),
+            is_local,
+            (selection.pace, upstream.pace.at(now_ms)),
         )
-        self._record_ratio(selection.upstream, ratio, now_ms)
+        self._record_ratio(upstream, ratio, now_ms)
 
     def _record_ratio(self, upstream: Upstream, ratio: float, now_ms: int) -> None:
         """Record a processing time, as a ratio to the expected time."""
@@ -138,48 +136,3 @@
                 upstream.name,
                 ratio,
             )
-
-    def _record_wishes(
-        self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
-    ) -> None:
-        """Record what an answer says its upstream takes from now on."""
-        parser = outcome.parser
-        if parser is None or parser.status == HTTPStatus.MISDIRECTED_REQUEST:
-            return
-        limit = read_rate_limit(parser, self.header_names)
-        if isinstance(limit, Failure):
-            _log_invalid_header(upstream, limit.failure())
-        elif upstream.rate_limit.on_answer(limit.unwrap(), now_ms):
-            log_rate_limit(upstream, "its answer")
-        if is_leaving(parser, self.header_names) and not upstream.leaving:
-            upstream.leaving = True
-            _LOGGER.info("entry: Upstream %s says that it is leaving.", upstream.name)
-        retry_after = read_retry_after_ms(parser)
-        if isinstance(retry_after, Failure):
-            _log_invalid_header(upstream, retry_after.failure())
-        elif (retry_after_ms := retry_after.unwrap()) is not None:
-            upstream.on_retry_after(retry_after_ms, now_ms)
-            _LOGGER.info(
-                "entry: Upstream %s wants nothing for %d ms.",
-                upstream.name,
-                retry_after_ms,
-            )
-
-    def _record_load(
-        self, upstream: Upstream, outcome: ExchangeOutcome, now_ms: int
-    ) -> LoadReport | None:
-        """Record and return what an answer's load header tells."""
-        if outcome.parser is None:
-            return None
-        read = read_load(outcome.parser, self.header_names)
-        if isinstance(read, Failure):
-            _log_invalid_header(upstream, read.failure())
-            return None
-        load = read.unwrap()
-        if load is not None:
-            upstream.on_report(load.running, load.waiting, now_ms)
-        return load
-
-
-def _log_invalid_header(upstream: Upstream, header: str) -> None:
-    _LOGGER.warning("entry: Invalid header of upstream %s: %s.", upstream.name, header)
--- a/packages/bilberry_router/src/bilberry_router/entry/counts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/counts.py
@@ -85,6 +85,7 @@
     placements: Counter[PlacementLabels] = field(default_factory=Counter)
     bytes: Counter[TrafficLabels] = field(default_factory=Counter)
     denials: Counter[str] = field(default_factory=Counter)
+    unreadable_headers: Counter[str] = field(default_factory=Counter)
     histograms: dict[str, ServiceHistograms] = field(default_factory=dict)
 
     def for_service(self, service: str) -> ServiceHistograms:
--- a/packages/bilberry_router/src/bilberry_router/entry/crash_evidence.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/crash_evidence.py
@@ -1,6 +1,8 @@
 """Judge from the outcomes of attempts which requests crash upstreams."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import gevent
 from gevent import Greenlet
@@ -9,6 +11,7 @@
 from bilberry_balance.placement.upstream import Upstream
 from bilberry_core.const import MS_PER_SECOND
 
+from ..http.response_parser import ResponseParser
 from .active_request import ActiveRequest
 from .answer_checks import LOST_ANSWER_POINTS
 from .attempt import ExchangeOutcome
@@ -53,15 +56,21 @@
 
     A lost answer counts as a crash until the request is answered. So does one
     that is overdue, unless its upstream turns out to be alive. In a trial, a
-    crash is confirmed first.
+    crash is confirmed first. `record_load` reads the load that a health answer
+    tells.
     """
 
-    __slots__ = ("header_names", "overdue", "state", "suspects")
+    __slots__ = ("header_names", "overdue", "record_load", "state", "suspects")
 
     def __init__(
-        self, state: EntryState, suspects: EntrySuspects, header_names: HeaderNames
+        self,
+        state: EntryState,
+        suspects: EntrySuspects,
+        header_names: HeaderNames,
+        record_load: Callable[[Upstream, ResponseParser], object],
     ) -> None:
         self.state = state
+        self.record_load = record_load
         self.suspects = suspects
         self.header_names = header_names
         # By upstream, while it is being checked.
@@ -163,5 +172,9 @@
     def _health_connection(self, upstream: Upstream) -> HealthConnection:
         path = self.state.pool(upstream.spec.service).health_path
         return HealthConnection(
-            upstream.spec, path, self.header_names, self.state.clock
+            upstream.spec,
+            path,
+            self.header_names,
+            self.state.clock,
+            partial(self.record_load, upstream),
         )
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -49,6 +49,7 @@
 from .state import EntryState
 from .suspect_placement import SuspectPlacement, SuspectRefusal
 from .suspects import EntrySuspects
+from .upstream_reports import UpstreamReports
 
 NO_CONFIG_RETRY_MS = 500
 
@@ -90,14 +91,17 @@
         self.placer = placer
         self.connections = connections
         self.header_names = header_names
-        self.outcome_recorder = OutcomeRecorder(state, header_names)
+        reports = UpstreamReports(state, header_names)
+        self.outcome_recorder = OutcomeRecorder(state, reports)
         self.rate_limit_log = RateLimitLog(state.clock)
         self.request_log = RequestLog(state, placer)
         self.retry_decisions = RetryDecisions(state)
         self.access = AccessControl(state)
         self.route_updates = RouteUpdates(state, self.access)
         self.suspects = EntrySuspects(state.node, state.clock)
-        self.crash_evidence = CrashEvidence(state, self.suspects, header_names)
+        self.crash_evidence = CrashEvidence(
+            state, self.suspects, header_names, reports.record_load
+        )
         self.suspect_placement = SuspectPlacement(placer, self.crash_evidence)
         self.is_refusing = False
         self.stop_at_ms: int | None = None
--- a/packages/bilberry_router/src/bilberry_router/entry/liveness.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/liveness.py
@@ -1,6 +1,7 @@
 """Find out whether an upstream is alive, after a request was lost there."""
 
 import logging
+from collections.abc import Callable
 from enum import StrEnum, auto
 from http import HTTPStatus
 
@@ -41,15 +42,24 @@
 
 
 class HealthConnection:
-    """Ask one upstream for its health on a connection of its own."""
+    """Ask one upstream for its health on a connection of its own.
 
-    __slots__ = ("clock", "header_names", "path", "socket", "spec")
+    `on_answer` gets each answer of this incarnation.
+    """
+
+    __slots__ = ("clock", "header_names", "on_answer", "path", "socket", "spec")
 
     def __init__(
-        self, spec: UpstreamSpec, path: str, header_names: HeaderNames, clock: Clock
+        self,
+        spec: UpstreamSpec,
+        path: str,
+        header_names: HeaderNames,
+        clock: Clock,
+        on_answer: Callable[[ResponseParser], object],
     ) -> None:
         self.spec = spec
         self.clock = clock
+        self.on_answer = on_answer
         self.path = path
         self.header_names = header_names
         self.socket = UpstreamSocket(spec.address)
@@ -93,7 +103,10 @@
         except OSError as error:
             _LOGGER.info("entry: No health of %s: %s.", self.spec.name, error)
             return Liveness.CLOSED
-        return self._judge(parser)
+        liveness = self._judge(parser)
+        if liveness is Liveness.ALIVE:
+            self.on_answer(parser)
+        return liveness
 
     def _judge(self, parser: ResponseParser) -> Liveness:
         """Return whether the answer is of this incarnation."""
@@ -181,7 +194,13 @@
 
     def _new_connection(self) -> HealthConnection:
         known = self.connection
-        return HealthConnection(known.spec, known.path, known.header_names, known.clock)
+        return HealthConnection(
+            known.spec,
+            known.path,
+            known.header_names,
+            known.clock,
+            known.on_answer,
+        )
 
     def _stop_watching(self) -> None:
         if self.task is not None:
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -106,6 +106,13 @@
             number,
             reason=reason,
         )
+    for header, number in counts.unreadable_headers.items():
+        metrics.set_counter(
+            "bilberry_entry_unreadable_headers_total",
+            "Headers of upstreams' answers that could not be read.",
+            number,
+            header=header,
+        )
     for traffic, size in counts.bytes.items():
         metrics.set_counter(
             "bilberry_entry_bytes_total",
--- a/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
+++ b/packages/bilberry_testing/src/bilberry_testing/machines/upstream.py
@@ -45,8 +45,9 @@
     for a reset; `shed_next` is the number of next requests to reject; no
     request ends before `hold` is set; `build_leading_bytes` and
     `build_trailing_bytes` return bytes to send before and after an answer;
-    `extra_headers` are header lines added to all answers, and `load` is what
-    they say of its load in place of the truth.
+    `extra_headers` are header lines added to all answers, `load` is what they
+    say of its load in place of the truth, and `pace_percent` what they add to
+    the truth as a fourth figure.
     """
 
     script: list[bytes | None] = field(default_factory=list)
@@ -56,6 +57,7 @@
     build_trailing_bytes: Callable[[ServedRequest], bytes] | None = None
     extra_headers: list[str] = field(default_factory=list)
     load: str | None = None
+    pace_percent: int | None = None
 
 
 class UpstreamServer:
@@ -220,6 +222,8 @@
         load = self.faults.load
         if load is None:
             load = f"{self.running},{self.waiting},{self.slots}"
+            if self.faults.pace_percent is not None:
+                load += f",{self.faults.pace_percent}"
         return [f"{self.header_names.load}: {load}", *self.faults.extra_headers]
 
     def _is_full(self) -> bool:
--- a/tests/bilberry_balance/placement/test_selector.py
+++ b/tests/bilberry_balance/placement/test_selector.py
@@ -46,7 +46,7 @@
 
 def test_a_recent_load_report_goes_before_the_counts_of_peers():
     pool = SelectorPool(spec("u0", slots=3), spec("far", "qc-a"))
-    pool["u0"].on_report(running=3, waiting=1, now_ms=10_000)
+    pool["u0"].on_report(running=3, waiting=1, pace=1.0, now_ms=10_000)
     assert pool.name_of() == "no room"
     assert pool.name_of(wait_state=LONG_WAIT) == "far"
     assert pool.name_of(now_ms=11_000) == "u0"
