Play machines that turn slow and tell it

`bench placement` had no machines that turn slow by themselves, so the gain of reading the fourth load figure was not known. It now plays each of: load headers that nodes drop, such with the load alone, and such with the pace.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -1,9 +1,10 @@
 """Play loads of several deployments through the real placement."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from bilberry_core.const import MS_PER_SECOND
 
+from .placement_machines import MachineModel, Telling
 from .placement_model import KNOWN_OBJECT_FRACTION, DeploymentModel, ServiceModel
 from .placement_outcome import outcome_of
 from .placement_sim import run_seconds
@@ -50,6 +51,8 @@
     Size("large, busy", 160, 9, 30, 0.4),
 )
 
+MACHINES_SIZE = Size("machines", 40, 4, 5, 0.4)
+
 
 def make_model(size: Size) -> DeploymentModel:
     """Return a deployment of three services of the same size."""
@@ -104,5 +107,22 @@
             outcome.connects,
         )
     mean = sum(credits) / len(credits)
+    add_machines(report, options, seconds)
     report.summary = f"credit once caches have filled: {mean:.3f} in the mean"
     return report
+
+
+def add_machines(report: Report, options: Options, seconds: int) -> None:
+    """Show what callers get if machines turn slow, by what answers tell."""
+    columns = ["load headers", "credit", "settled", "worst domain", "served"]
+    table = report.table("Machines that turn slow for 600 ms", columns)
+    for telling in Telling:
+        model = replace(make_model(MACHINES_SIZE), machines=MachineModel(telling))
+        outcome = outcome_of(run_seconds(model, options.seed, seconds))
+        table.add(
+            telling.value,
+            outcome.credit,
+            outcome.settled,
+            outcome.worst_domain,
+            outcome.served,
+        )
