--- a/bench/moves.py
+++ b/bench/moves.py
@@ -26,6 +26,7 @@
 SHARE_KEYS = 20_000
 LARGE_POOL_SHARE_KEYS = 6_000
 FULL_FACTOR = 8
+FULL_SHARE_KEYS = 300_000
 MAX_RATIO = 1.1
 # What chance alone may add to a count or a share, in standard deviations.
 MAX_DEVIATIONS = 4.0
@@ -55,12 +56,20 @@
     return [*pools, PoolModel("36 unequal", unequal), PoolModel("36 even", even)]
 
 
-def key_count(pool: PoolModel, options: Options, small: int, large: int) -> int:
-    """Return with how many keys to measure a pool."""
-    count = large if len(pool.specs()) >= LARGE_POOL else small
+def key_count(pool: PoolModel, options: Options) -> int:
+    """Return with how many keys to count moves in a pool."""
+    count = LARGE_POOL_KEYS if len(pool.specs()) >= LARGE_POOL else KEYS
     return count if options.quick else count * FULL_FACTOR
 
 
+def share_key_count(pool: PoolModel, options: Options) -> int:
+    """Return with how many keys to compare shares with slots."""
+    if not options.quick:
+        return FULL_SHARE_KEYS
+    is_large = len(pool.specs()) >= LARGE_POOL
+    return LARGE_POOL_SHARE_KEYS if is_large else SHARE_KEYS
+
+
 def make_keys(count: int, seed: int) -> list[str]:
     """Return distinct keys."""
     return [f"{seed}-{index}" for index in range(count)]
@@ -93,7 +102,7 @@
     table = report.table("Places of keys that changed, summed over regions", columns)
     totals = Moves()
     for pool in make_pools():
-        count = key_count(pool, options, KEYS, LARGE_POOL_KEYS)
+        count = key_count(pool, options)
         keys = make_keys(count, options.seed)
         for name, play in CASES.items():
             scenario = Scenario(MovesNode(pool.specs().values()), keys)
@@ -135,7 +144,7 @@
     table = report.table("Shares of a region's keys, as ratios to slots", columns)
     worst = 1.0
     for pool in make_pools():
-        count = key_count(pool, options, SHARE_KEYS, LARGE_POOL_SHARE_KEYS)
+        count = share_key_count(pool, options)
         node = MovesNode(pool.specs().values())
         view = node.view(make_keys(count, options.seed))
         ratios = {}
--- a/bench/moves_cases.py
+++ b/bench/moves_cases.py
@@ -138,6 +138,7 @@
         scenario.node.drain(*wave)
         scenario.step(STEP_MS)
         scenario.node.remove(*leaving)
+        scenario.step(STEP_MS)
         leaving = wave
     scenario.node.remove(*leaving)
     scenario.step(STEP_MS)
