Move only the keys that must move when a pool changes

Callers: a third of a region's objects were served elsewhere when any region near the mean gained or lost one upstream; objects had no upstream of their own while both ranked ones drained; an upstream of 8 slots got as many as one of 2. Cause: a region that falls below the mean took 0.7 of its keys in place of all; draining upstreams kept their ranks; hashes ignored slots; a change of one service cleared the cached places of all. Change: weighted rendezvous hashing where slots of a region differ, and the order of the plain hash where they are equal, so that nothing moves at an upgrade. Only upstreams that accept requests have a rank. A region that took all keys does so until it has less than 0.75 of the mean slots; a node that starts computes the parts as before. Evacuated upstreams have no rank, but count for the parts of regions as before. The listener names the services that have changed, so its test passes a function of one argument. Metric: bilberry_entry_reranked_keys_total.

--- a/packages/bilberry_balance/src/bilberry_balance/placement/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/const.py
@@ -24,6 +24,10 @@
 # Part of the keys that a short region takes of those that its slots carry. The
 # rest of its caches is for objects that come while other regions are full.
 KEY_FRACTION_OF_SLOTS = 0.7
+# A region that took all keys is short below this fraction of the mean slots.
+# One upstream of three may leave, and a rolling release may add as many as one
+# region has, before any region counts as short.
+SHORT_REGION_RATIO = 0.75
 
 # Fractions of the extra time of a cache miss, added to the cost of a request
 # at an upstream other than the first-ranked one, where it evicts an object.
--- a/packages/bilberry_balance/src/bilberry_balance/placement/directory.py
+++ b/packages/bilberry_balance/src/bilberry_balance/placement/directory.py
@@ -25,10 +25,16 @@
 
         It is not draining, leaving, evacuated or replaced at its address.
         """
-        if upstream.draining or upstream.leaving or self.is_replaced(upstream):
+        if not self.is_in_service(upstream):
             return False
         return upstream.spec.failure_domain not in self.evacuated
 
+    def is_in_service(self, upstream: Upstream) -> bool:
+        """Return whether it may get requests unless it is evacuated."""
+        if upstream.draining or upstream.leaving:
+            return False
+        return not self.is_replaced(upstream)
+
     def is_replaced(self, upstream: Upstream) -> bool:
         """Return whether a later started upstream has its address."""
         holder = self.holders.get(upstream.spec.address, upstream)
--- a/packages/bilberry_core/src/bilberry_core/ids.py
+++ b/packages/bilberry_core/src/bilberry_core/ids.py
@@ -19,6 +19,17 @@
     return int.from_bytes(digest, "big")
 
 
+def stable_hashes(part: str, encoded_parts: Iterable[bytes]) -> list[int]:
+    """Return `stable_hash(part, other)` of each other part, given encoded."""
+    start = hashlib.blake2b(part.encode() + b"\x00", digest_size=HASH_BITS // 8)
+    hashes = []
+    for encoded in encoded_parts:
+        state = start.copy()
+        state.update(encoded)
+        hashes.append(int.from_bytes(state.digest(), "big"))
+    return hashes
+
+
 def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
     """Return `names` in order of preference for `key`, by rendezvous hashing.
 
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/upstreams.py
@@ -53,6 +53,7 @@
     """
 
     __slots__ = (
+        "changed_services",
         "clock",
         "decode",
         "departed",
@@ -62,7 +63,6 @@
         "kept_until_ms",
         "on_change",
         "outage_seen",
-        "pool_changed",
         "pools",
         "restored_at_ms",
         "store_recovered_at_ms",
@@ -74,13 +74,13 @@
         directory: UpstreamDirectory,
         decode: UpstreamDecoder,
         clock: Clock,
-        on_change: Callable[[], None],
+        on_change: Callable[[str], None],
     ) -> None:
         self.directory = directory
         self.decode = decode
         self.clock = clock
         self.on_change = on_change
-        self.pool_changed = False
+        self.changed_services: set[str] = set()
         self.pools: dict[str, PoolConfig] = {}
         self.has_snapshot = False
         self.has_news = False
@@ -151,10 +151,13 @@
         self._report_change()
 
     def _report_change(self) -> None:
-        """Call `on_change` if upstreams were added, replaced or removed."""
-        if self.pool_changed:
-            self.pool_changed = False
-            self.on_change()
+        """Call `on_change` for each service whose upstreams have changed.
+
+        Some were added, replaced or removed, or began or ended to drain.
+        """
+        for service in sorted(self.changed_services):
+            self.on_change(service)
+        self.changed_services.clear()
 
     def _may_be_outdated(self) -> bool:
         """Return whether a list may hold entries of a restored store."""
@@ -207,11 +210,13 @@
         was_draining = previous is not None and previous.draining
         is_changed = is_new or was_draining is not entry.draining
         self.has_news |= is_changed
-        self.pool_changed |= is_new
         # The first snapshot is logged as a whole.
         if is_changed and self.has_snapshot:
             _log_entry(entry)
         former = self.directory.holders.get(entry.spec.address)
+        if is_changed:
+            self._record_change(previous, former)
+            self.changed_services.add(entry.spec.service)
         upstream = self.directory.put(entry.spec, entry.draining)
         if former is not None and self.directory.is_replaced(former):
             _LOGGER.info(
@@ -244,11 +249,16 @@
                 return
         self._remove(name, "entry is gone")
 
+    def _record_change(self, *upstreams: Upstream | None) -> None:
+        """Record that the services of upstreams have changed."""
+        self.changed_services.update(u.spec.service for u in upstreams if u)
+
     def _remove(self, name: str, reason: str) -> None:
         removed = self.directory.remove(name)
         if removed is not None:
             self.departed.add(removed.spec, self.clock.now_ms())
-            self.pool_changed = True
+            holder = self.directory.holders.get(removed.spec.address)
+            self._record_change(removed, holder)
             self.has_news = True
             _LOGGER.info("discovery: Removed upstream %s: %s.", name, reason)
 
--- a/packages/bilberry_router/src/bilberry_router/entry/accounts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/accounts.py
@@ -101,7 +101,7 @@
             _LOGGER.warning(
                 "entry: Upstream %s was replaced at its address.", upstream.name
             )
-            upstream.leaving = True
+            self.state.record_leaving(upstream)
             return
         has_free_slot = load is not None and load.running < load.slots
         upstream.on_shed(has_free_slot, load.waiting if load else 0, now_ms)
@@ -152,7 +152,7 @@
         elif upstream.rate_limit.on_answer(limit.unwrap(), now_ms):
             log_rate_limit(upstream, "its answer")
         if is_leaving(parser, self.header_names) and not upstream.leaving:
-            upstream.leaving = True
+            self.state.record_leaving(upstream)
             _LOGGER.info("entry: Upstream %s says that it is leaving.", upstream.name)
         retry_after = read_retry_after_ms(parser)
         if isinstance(retry_after, Failure):
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -106,6 +106,7 @@
             number,
             reason=reason,
         )
+    add_key_places(inputs, metrics)
     for traffic, size in counts.bytes.items():
         metrics.set_counter(
             "bilberry_entry_bytes_total",
@@ -118,6 +119,20 @@
         add_histograms(metrics, service, histograms)
 
 
+def add_key_places(inputs: MetricInputs, metrics: MetricSet) -> None:
+    """Add how many keys were ranked again after changes of their pools."""
+    ranks = inputs.state.selector.ranks
+    for change, counts in (("moved", ranks.moved), ("kept", ranks.kept)):
+        for service, number in counts.items():
+            metrics.set_counter(
+                "bilberry_entry_reranked_keys_total",
+                "Keys ranked again after a change of upstreams, by the result.",
+                number,
+                service=service,
+                change=change,
+            )
+
+
 def add_histograms(
     metrics: MetricSet, service: str, histograms: ServiceHistograms
 ) -> None:
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -242,6 +242,7 @@
     def evacuate(self, domains: frozenset[str]) -> None:
         """Evacuate `domains`; treat upstreams of restored ones as cold."""
         restored = self.state.upstreams.evacuate(domains)
+        self.state.selector.ranks.clear()
         _LOGGER.info(
             "node: Evacuated failure domains: %s; restored: %s.",
             sorted(domains),
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -11,6 +11,7 @@
 from bilberry_balance.placement.rate_limiter import RateLimiter
 from bilberry_balance.placement.restarts import RestartTracker
 from bilberry_balance.placement.selector import UpstreamSelector
+from bilberry_balance.placement.upstream import Upstream
 from bilberry_balance.retry_window import RetryWindow
 from bilberry_core.clock import Clock
 from bilberry_core.ids import stable_hash
@@ -87,6 +88,9 @@
             self.cold_rate_limiter,
             self.rate_limiter,
         )
+        ranks = self.selector.ranks
+        ranks.accepts_requests = self.upstreams.accepts_requests
+        ranks.is_in_service = self.upstreams.is_in_service
         self.region_share_limiter = RegionShareLimiter(
             self.shared_limits.max_region_shift
         )
@@ -203,6 +207,11 @@
         self.region_share_limiter.set_max_share(shared_limits.max_region_shift)
         self.retry_budgets.clear()
 
+    def record_leaving(self, upstream: Upstream) -> None:
+        """Record that an upstream wants nothing more from any node."""
+        upstream.leaving = True
+        self.selector.ranks.clear(upstream.spec.service)
+
     def in_flight(self) -> dict[str, int]:
         """Return this node's in-flight requests by upstream, without zeros."""
         return {
--- a/tests/bilberry_fleet/discovery/test_upstreams.py
+++ b/tests/bilberry_fleet/discovery/test_upstreams.py
@@ -24,7 +24,7 @@
         UpstreamDirectory(ColdRateLimiter("n1")),
         lambda record: Success(record.content) if record.content else Failure("none"),
         ManualClock(monotonic_ms=10_000),
-        lambda: None,
+        lambda service: None,
     )
     found.on_snapshot(Snapshot([Record("u0", 1, entry())], 1))
     return found
@@ -78,3 +78,26 @@
     assert apply(listener, None, deleted=True)
     assert apply(listener, entry())
     assert not apply(listener, entry())
+
+
+def test_only_services_with_changed_upstreams_are_reported(listener):
+    """Guard against clearing the ranks of all services, or none at a drain."""
+    changed = []
+    listener.on_change = changed.append
+    other = UpstreamSpec("u1", "galerie", "10.0.0.2:80", "mtl-a", "mtl", 4, 1)
+    apply(listener, entry(other), name="u1")
+    apply(listener, entry(other), name="u1")
+    assert changed == ["galerie"]
+    apply(listener, entry(draining=True))
+    assert changed == ["galerie", "suivi"]
+
+
+def test_services_of_replaced_upstreams_are_reported(listener):
+    """Guard against a rank for an upstream whose address another one has."""
+    changed = []
+    listener.on_change = changed.append
+    other = UpstreamSpec("u1", "galerie", SPEC.address, "mtl-a", "mtl", 4, 2)
+    apply(listener, entry(other), name="u1")
+    assert changed == ["galerie", "suivi"]
+    apply(listener, None, deleted=True, name="u1")
+    assert changed == ["galerie", "suivi"] * 2
