Test that leaving and evacuated upstreams have no rank at a node

Cause: the wiring of a node's directory to its ranks had no test of its own. Change: one test of an upstream that says so in its answer, and one of an evacuated failure domain.

--- a/tests/bilberry_router/entry/test_leaving.py
+++ b/tests/bilberry_router/entry/test_leaving.py
@@ -66,3 +66,24 @@
         assert first.answer().status == 200
         assert second.answer().status == 503
         assert len(rig.ran) == 1
+
+
+def test_an_upstream_that_leaves_loses_its_rank_before_its_entry_says_so():
+    """Guard against keys that stay without a first-ranked upstream."""
+    with Rig(count=2) as rig:
+        rig.upstreams[0].faults.extra_headers = LEAVING
+        ranks = rig.state.selector.ranks
+        assert ranks.for_key("s", "k").ranks.keys() == {"u0", "u1"}
+        rig.state.upstreams.by_name["u1"].in_flight = 2
+        assert rig.ask("/read/x").status == 200
+        assert ranks.for_key("s", "k").ranks == {"u1": 0}
+
+
+def test_upstreams_of_an_evacuated_domain_have_no_rank_at_a_node():
+    """Guard against a node that ranks what it may not use."""
+    with Rig(count=1) as rig:
+        rig.state.upstreams.evacuate(frozenset({"mtl-a"}))
+        rig.state.selector.ranks.clear()
+        places = rig.state.selector.ranks.for_key("s", "k")
+        assert places.ranks == {}
+        assert places.regions == {"mtl"}
