--- a/packages/bilberry_router/src/bilberry_router/entry/upstream_reports.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/upstream_reports.py
@@ -62,7 +62,7 @@
         ):
             log_rate_limit(upstream, "its answer")
         if is_leaving(parser, self.header_names) and not upstream.leaving:
-            upstream.leaving = True
+            self.state.record_leaving(upstream)
             _LOGGER.info("entry: Upstream %s says that it is leaving.", upstream.name)
         retry_after_ms = self._readable(upstream, read_retry_after_ms(parser))
         if retry_after_ms is not None:
