Count keys from a leaving to a resized upstream once

Cause: where one upstream leaves and another is resized in one step, the least possible number of moves counted the keys that go from one to the other twice. Change: the gain of a resized upstream counts keys of those that stay.

--- a/bench/moves_model.py
+++ b/bench/moves_model.py
@@ -182,8 +182,11 @@
     """
     left = old_slots.keys() - new_slots.keys()
     joined = new_slots.keys() - old_slots.keys()
-    actual = sum(a in left or b in joined for a, b in zip(old, new, strict=True))
-    old_counts, new_counts = Counter(old), Counter(new)
+    pairs = list(zip(old, new, strict=True))
+    actual = sum(a in left or b in joined for a, b in pairs)
+    staying = [(a, b) for a, b in pairs if a not in left and b not in joined]
+    old_counts = Counter(a for a, _ in staying)
+    new_counts = Counter(b for _, b in staying)
     for name in old_slots.keys() & new_slots.keys():
         if old_slots[name] != new_slots[name]:
             actual += abs(new_counts[name] - old_counts[name])
