Yield to other callers after a bounded amount of work for one peer

Callers: while one sent a body in chunks of one byte, nobody else got an answer, as its bytes were parsed without a pause: a read that finds data returns at once, and each chunk took several calls. Change: each connection counts the work that its bytes cause, 128 KiB or 256 chunks, header lines or reads, and lets others run after it: bodies, heads, discarded input, upstreams' answers. Chunks are decoded in batches and removed from the buffer once a batch. Trailers are limited to 64 lines, extensions to 1 MB a body. Heads are read in one place, without searching bytes twice and in reads of 16 KiB, so that a connection that waits holds fewer of them.

--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -22,11 +22,12 @@
 from ..http.const import (
     BODILESS_STATUSES,
     END_OF_HEAD,
-    END_OF_LINE,
+    HEAD_RECV_BYTES,
     MAX_JOINED_WRITE_BYTES,
     METHOD_HEAD,
 )
-from ..http.head import RequestError, RequestHead, parse_head
+from ..http.head import RequestError, RequestHead
+from ..http.head_reader import read_head
 from ..http.receive import ReadTimeoutError
 from .answer_memory import AnswerMemory, HeldAnswer
 from .answers import refusal_answer
@@ -174,30 +175,14 @@
 
     def read_head(self) -> RequestHead | RequestError | None:
         """Return the next head, or None if the connection is to be closed."""
-        buffer = self.connection.buffer
-        while not buffer:
+        while not self.connection.buffer:
             if not self.wait_for_data():
                 return None
         self.is_reading = True
         limits = self.limits()
-        if buffer.startswith(END_OF_LINE):
-            del buffer[: len(END_OF_LINE)]
-        end_ms = self.clock.now_ms() + limits.header_timeout_ms
-        while (end := buffer.find(END_OF_HEAD)) < 0:
-            if len(buffer) > limits.max_header_bytes:
-                return _head_too_large()
-            remaining_ms = end_ms - self.clock.now_ms()
-            if remaining_ms <= 0:
-                return _head_timed_out()
-            try:
-                self.connection.fill(remaining_ms)
-            except ReadTimeoutError:
-                return _head_timed_out()
-        if end > limits.max_header_bytes:
-            return _head_too_large()
-        data = self.connection.take(end)
-        del buffer[: len(END_OF_HEAD)]
-        parsed = parse_head(data)
+        parsed = read_head(
+            self.connection, limits.max_header_bytes, limits.header_timeout_ms
+        )
         return parsed.failure() if isinstance(parsed, Failure) else parsed.unwrap()
 
     def wait_for_data(self) -> bool:
@@ -206,7 +191,7 @@
         if self.is_draining and self.has_served and not self.pending:
             return False
         try:
-            self.connection.fill(self.limits().idle_timeout_ms)
+            self.connection.fill(self.limits().idle_timeout_ms, HEAD_RECV_BYTES)
         except ReadTimeoutError:
             return bool(self.pending)
         if self.is_closing:
@@ -372,15 +357,6 @@
             exchange.request.mark_caller_gone()
 
 
-def _head_too_large() -> RequestError:
-    status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-    return RequestError(status, "the head is too large")
-
-
-def _head_timed_out() -> RequestError:
-    return RequestError(HTTPStatus.REQUEST_TIMEOUT, "the head came too slowly")
-
-
 def _body_too_large(limits: CallerLimits) -> RequestError:
     reason = f"the body is over {limits.max_body_bytes} bytes"
     return RequestError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, reason)
--- a/packages/bilberry_router/src/bilberry_router/entry/connections.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/connections.py
@@ -184,7 +184,9 @@
                     break
                 return self._connection_lost(attempt, parser, "closed")
             received.add(len(data))
+            counted = parser.chunk_count
             parser.feed(data)
+            connection.turn.spend(0, parser.chunk_count - counted)
             if attempt.arrival is not None and parser.body_bytes:
                 attempt.deadline_ms = attempt.arrival.add(
                     len(data), parser.announced_bytes
--- a/packages/bilberry_router/src/bilberry_router/http/body.py
+++ b/packages/bilberry_router/src/bilberry_router/http/body.py
@@ -1,25 +1,17 @@
 """Streaming reader for request bodies."""
 
-import re
-
 from bilberry_core.const import MS_PER_SECOND
 
+from .chunks import ChunkDecoder, ChunkError
 from .connection import Connection, ConnectionLostError
 from .const import (
     CONTINUE,
-    END_OF_LINE,
-    MAX_CHUNK_DIGITS,
-    MAX_CHUNK_LINE_BYTES,
-    MAX_TRAILER_BYTES,
     MIN_BODY_BYTES_PER_S,
     RECV_BYTES,
 )
 from .head import RequestHead
 from .receive import ReadTimeoutError
 
-_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?")
-_TRAILER = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:[\t\x20-\x7e\x80-\xff]*")
-
 STATUS_BAD_REQUEST = 400
 STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
@@ -43,7 +35,7 @@
     __slots__ = (
         "chunked",
         "connection",
-        "in_chunk",
+        "decoder",
         "is_complete",
         "is_continue_pending",
         "limit_bytes",
@@ -66,7 +58,7 @@
         self.timeout_ms = timeout_ms
         self.chunked = head.chunked
         self.remaining_bytes = head.content_length or 0
-        self.in_chunk = False
+        self.decoder = ChunkDecoder() if head.chunked else None
         self.received_bytes = 0
         self.waited_ms = 0
         self.is_complete = not head.chunked and self.remaining_bytes == 0
@@ -86,6 +78,8 @@
         try:
             self._send_continue()
             data = self._read_next(limit, wait_ms)
+        except ChunkError as error:
+            raise BodyError(STATUS_BAD_REQUEST, error.reason) from None
         except ReadTimeoutError:
             raise BodyError(STATUS_TIMEOUT, "the body came too slowly") from None
         except (ConnectionLostError, OSError):
@@ -130,18 +124,25 @@
             self.connection.sock.sendall(CONTINUE)
 
     def _read_next(self, limit: int, wait_ms: int) -> bytes:
-        if self.chunked and not self.in_chunk:
-            self._start_chunk(wait_ms)
-            if self.is_complete:
-                return b""
+        if self.decoder is not None:
+            return self._read_chunks(self.decoder, limit, wait_ms)
         if not self.connection.buffer:
             self._fill_buffer(wait_ms)
         data = self.connection.take(min(limit, self.remaining_bytes))
         self.remaining_bytes -= len(data)
-        if self.remaining_bytes == 0:
-            self._finish_chunk_or_body(wait_ms)
+        self.is_complete = self.remaining_bytes == 0
         return data
 
+    def _read_chunks(self, decoder: ChunkDecoder, limit: int, wait_ms: int) -> bytes:
+        while True:
+            counted = decoder.chunk_count
+            data = decoder.decode(self.connection.buffer, limit)
+            self.is_complete = decoder.is_complete
+            self.connection.turn.spend(len(data), decoder.chunk_count - counted)
+            if data or self.is_complete:
+                return data
+            self._fill_buffer(wait_ms)
+
     def _fill_buffer(self, wait_ms: int) -> None:
         clock = self.connection.clock
         started_ms = clock.now_ms()
@@ -154,41 +155,3 @@
         return (
             self.received_bytes * MS_PER_SECOND < self.waited_ms * MIN_BODY_BYTES_PER_S
         )
-
-    def _finish_chunk_or_body(self, wait_ms: int) -> None:
-        if not self.chunked:
-            self.is_complete = True
-            return
-        self.in_chunk = False
-        if self._read_line(wait_ms):
-            raise BodyError(STATUS_BAD_REQUEST, "a chunk passes its size")
-
-    def _start_chunk(self, wait_ms: int) -> None:
-        match = _CHUNK_LINE.fullmatch(self._read_line(wait_ms))
-        if match is None or len(match[1]) > MAX_CHUNK_DIGITS:
-            raise BodyError(STATUS_BAD_REQUEST, "malformed chunk size")
-        self.remaining_bytes = int(match[1], 16)
-        if self.remaining_bytes:
-            self.in_chunk = True
-            return
-        self._read_trailers(wait_ms)
-        self.is_complete = True
-
-    def _read_trailers(self, wait_ms: int) -> None:
-        received_bytes = 0
-        while line := self._read_line(wait_ms):
-            received_bytes += len(line)
-            if received_bytes > MAX_TRAILER_BYTES or _TRAILER.fullmatch(line) is None:
-                raise BodyError(STATUS_BAD_REQUEST, "malformed trailer")
-
-    def _read_line(self, wait_ms: int) -> bytes:
-        buffer = self.connection.buffer
-        while (end := buffer.find(END_OF_LINE)) < 0:
-            if len(buffer) > MAX_CHUNK_LINE_BYTES:
-                raise BodyError(STATUS_BAD_REQUEST, "a chunk line is too long")
-            self._fill_buffer(wait_ms)
-        if end > MAX_CHUNK_LINE_BYTES:
-            raise BodyError(STATUS_BAD_REQUEST, "a chunk line is too long")
-        line = self.connection.take(end)
-        del buffer[: len(END_OF_LINE)]
-        return line
--- a/packages/bilberry_router/src/bilberry_router/http/connection.py
+++ b/packages/bilberry_router/src/bilberry_router/http/connection.py
@@ -12,6 +12,7 @@
 
 from .const import MAX_LINGER_BYTES, RECV_BYTES
 from .receive import ReadTimeoutError, receive
+from .turns import Turn
 
 _READ_EVENT = 1
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -24,24 +25,33 @@
 class Connection:
     """Represent a caller's connection: buffered reads, close detection."""
 
-    __slots__ = ("buffer", "clock", "is_aborted", "is_idle", "sock", "watcher")
+    __slots__ = (
+        "buffer",
+        "clock",
+        "is_aborted",
+        "is_idle",
+        "sock",
+        "turn",
+        "watcher",
+    )
 
     def __init__(self, sock: Any, clock: Clock) -> None:
         self.sock = sock
         self.clock = clock
         self.buffer = bytearray()
+        self.turn = Turn()
         self.is_aborted = False
         self.is_idle = False
         self.watcher: Any = None
 
-    def fill(self, timeout_ms: int) -> None:
-        """Read the next bytes from the socket into the buffer.
+    def fill(self, timeout_ms: int, limit: int = RECV_BYTES) -> None:
+        """Read up to `limit` bytes from the socket into the buffer.
 
         Raise ConnectionLostError if the caller has closed the connection,
         ReadTimeoutError if nothing arrives within `timeout_ms`.
         """
         try:
-            data = receive(self.sock, timeout_ms)
+            data = receive(self.sock, timeout_ms, limit)
         except Timeout as error:
             raise ReadTimeoutError from error
         except OSError as error:
@@ -49,6 +59,7 @@
         if not data:
             raise ConnectionLostError
         self.buffer += data
+        self.turn.spend(len(data), items=1)
 
     def take(self, count: int) -> bytes:
         """Remove up to `count` bytes from the buffer and return them."""
@@ -130,6 +141,7 @@
             if not data:
                 return
             discarded_bytes += len(data)
+            self.turn.spend(len(data), items=1)
 
     def _on_readable(self, on_disconnect: Callable[[], None]) -> None:
         try:
--- a/packages/bilberry_router/src/bilberry_router/http/const.py
+++ b/packages/bilberry_router/src/bilberry_router/http/const.py
@@ -4,7 +4,17 @@
 ENV_HEAD = "bilberry.head"
 
 RECV_BYTES = 65_536
+# A connection that waits with bytes of later requests holds no more of them.
+HEAD_RECV_BYTES = 16_384
+# Work of one turn, after which a greenlet lets others run.
+TURN_WORK_BYTES = 131_072
+# What a chunk, a header line or a read counts as in a turn's work.
+ITEM_WORK_BYTES = 512
+MAX_CHUNKS_PER_CALL = 256
 MAX_CHUNK_LINE_BYTES = 1_024
+# Of one body; signed chunks of 8 KiB take 700 kB for a body of 64 MiB.
+MAX_EXTENSION_BYTES = 1_000_000
+MAX_TRAILER_LINES = 64
 MAX_TRAILER_BYTES = 8_192
 MIN_BODY_BYTES_PER_S = 1_000
 MAX_LENGTH_DIGITS = 18
--- a/packages/bilberry_router/src/bilberry_router/http/handler.py
+++ b/packages/bilberry_router/src/bilberry_router/http/handler.py
@@ -15,17 +15,17 @@
 from .const import (
     BODILESS_STATUSES,
     DEFAULT_LINGER_MS,
-    END_OF_HEAD,
-    END_OF_LINE,
     ENV_CONNECTION,
     ENV_HEAD,
+    HEAD_RECV_BYTES,
     HEADER_CONNECTION,
     HEADER_CONTENT_LENGTH,
     LAST_CHUNK,
     MAX_JOINED_WRITE_BYTES,
     METHOD_HEAD,
 )
-from .head import RequestError, RequestHead, parse_head
+from .head import RequestError, RequestHead
+from .head_reader import read_head
 from .messages import STATUS_LINES, Headers, Response, problem_response
 from .receive import ReadTimeoutError
 
@@ -88,34 +88,17 @@
     def read_head(self) -> Result[RequestHead, RequestError] | None:
         """Return the next request head, None after the idle timeout."""
         limits = self.server.limits
-        buffer = self.connection.buffer
-        if not buffer and not self.wait_idle(limits.idle_timeout_ms):
+        if not self.connection.buffer and not self.wait_idle(limits.idle_timeout_ms):
             return None
-        if buffer.startswith(END_OF_LINE):
-            del buffer[: len(END_OF_LINE)]
-        end_ms = self.server.clock.now_ms() + limits.header_timeout_ms
-        while (end := buffer.find(END_OF_HEAD)) < 0:
-            if len(buffer) > limits.max_header_bytes:
-                return _head_too_large()
-            remaining_ms = end_ms - self.server.clock.now_ms()
-            try:
-                if remaining_ms <= 0:
-                    raise ReadTimeoutError
-                self.connection.fill(remaining_ms)
-            except ReadTimeoutError:
-                reason = "the head came too slowly"
-                return Failure(RequestError(HTTPStatus.REQUEST_TIMEOUT, reason))
-        if end > limits.max_header_bytes:
-            return _head_too_large()
-        data = self.connection.take(end)
-        del buffer[: len(END_OF_HEAD)]
-        return parse_head(data)
+        return read_head(
+            self.connection, limits.max_header_bytes, limits.header_timeout_ms
+        )
 
     def wait_idle(self, timeout_ms: int) -> bool:
         """Wait for the first byte; return whether one arrived in time."""
         self.connection.is_idle = True
         try:
-            self.connection.fill(timeout_ms)
+            self.connection.fill(timeout_ms, HEAD_RECV_BYTES)
         except ReadTimeoutError:
             return False
         finally:
@@ -312,8 +295,3 @@
     if upper in ("CONTENT_TYPE", "CONTENT_LENGTH"):
         return upper
     return f"HTTP_{upper}"
-
-
-def _head_too_large() -> Result[RequestHead, RequestError]:
-    status = HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-    return Failure(RequestError(status, "the head is too large"))
--- a/packages/bilberry_router/src/bilberry_router/http/receive.py
+++ b/packages/bilberry_router/src/bilberry_router/http/receive.py
@@ -21,15 +21,15 @@
     return isinstance(error, TimeoutError) and error.errno is None
 
 
-def receive(sock: Any, timeout_ms: int) -> bytes:
-    """Return the next bytes, none if the other side has closed.
+def receive(sock: Any, timeout_ms: int, limit: int = RECV_BYTES) -> bytes:
+    """Return up to `limit` bytes, none if the other side has closed.
 
     Raise ReadTimeoutError if nothing arrives within `timeout_ms`, OSError if
     the connection is lost.
     """
     sock.settimeout(max(timeout_ms, 1) / MS_PER_SECOND)
     try:
-        data: bytes = sock.recv(RECV_BYTES)
+        data: bytes = sock.recv(limit)
     except OSError as error:
         if is_own_timeout(error):
             raise ReadTimeoutError from error
--- a/packages/bilberry_router/src/bilberry_router/http/upstream_socket.py
+++ b/packages/bilberry_router/src/bilberry_router/http/upstream_socket.py
@@ -10,6 +10,7 @@
 from bilberry_core.const import MS_PER_SECOND
 
 from .receive import receive
+from .turns import Turn
 
 TCP_KEEPALIVE_INTERVAL_S = 1
 TCP_KEEPALIVE_PROBES = 2
@@ -29,11 +30,12 @@
     Probes detect one that has gone silent, such as after a loss of power.
     """
 
-    __slots__ = ("address", "idle_since_ms", "sock")
+    __slots__ = ("address", "idle_since_ms", "sock", "turn")
 
     def __init__(self, address: str) -> None:
         self.address = address
         self.idle_since_ms = 0
+        self.turn = Turn()
         host, _ = split_address(address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self.sock: Any = gevent_socket.socket(family, socket.SOCK_STREAM)
@@ -64,7 +66,9 @@
         Raise ReadTimeoutError if nothing arrives within `timeout_ms`, OSError
         if the connection is lost.
         """
-        return receive(self.sock, timeout_ms)
+        data = receive(self.sock, timeout_ms)
+        self.turn.spend(len(data), items=1)
+        return data
 
     def idle_state(self) -> IdleState:
         """Return whether the upstream has closed or sent data."""
