Hold half of the memory under many bodies, and count what callers hold

Callers: many bodies at once took a node near its machine's memory, or over it: 2,800 connections with bodies of 60 kB that stop short took 303 MB on a node of 200 MB. Each greenlet referred to the bytes it had read last while it waited for more, also those of bodies that were refused. Change: nothing refers to bytes that were read while a greenlet waits, for more or for its turn, beside what is counted. Several long bodies take half of the memory less 64 MB for the process; one alone may still take all that is there, so that the largest legal body is served. Chunked bodies grow in parts of 64 KiB, as long buffers that grow beside each other leave gaps. A turn is 256 KiB of plain bytes, still 256 chunks.

--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -4,6 +4,13 @@
 
 MAX_PIPELINED = 16
 MAX_CONNECTIONS = 3_000
+# Of the process's descriptors, for connections to the entry; the others are
+# for upstreams, other nodes and the store.
+CALLER_DESCRIPTORS_FRACTION = 0.75
+# The same, with connections to the other listeners.
+AUXILIARY_DESCRIPTORS_FRACTION = 0.85
+# Of the callers' connections, for one address; many callers may share one.
+ADDRESS_CONNECTIONS_FRACTION = 0.5
 WRITE_TIMEOUT_MS = 5_000
 BODY_TIMEOUT_MS = 10_000
 CLOSE_LINGER_MS = 500
@@ -25,6 +32,10 @@
 MAX_PROCESS_BYTES = 64_000_000
 # Of the process, if its settings don't tell.
 DEFAULT_MEMORY_BYTES = 200_000_000
+# Of the process's memory; beyond it only one long body is held.
+MEMORY_AIM_FRACTION = 0.5
+# A body of unknown length is held in parts of this size until it is whole.
+BODY_PART_BYTES = 65_536
 SMALL_BODY_BYTES = 64_000
 # Of the memory for bodies of requests, only for small ones.
 SMALL_BODIES_BYTES = 4_000_000
--- a/packages/bilberry_router/src/bilberry_router/entry/request_memory.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/request_memory.py
@@ -4,6 +4,7 @@
     DEFAULT_MEMORY_BYTES,
     MAX_HELD_BYTES,
     MAX_PROCESS_BYTES,
+    MEMORY_AIM_FRACTION,
     SMALL_BODIES_BYTES,
     SMALL_BODY_BYTES,
 )
@@ -12,7 +13,7 @@
 class RequestMemory:
     """Count the bytes of all bodies that this node holds or has accepted."""
 
-    __slots__ = ("held_bytes", "limit_bytes", "refused_count")
+    __slots__ = ("aim_bytes", "held_bytes", "limit_bytes", "refused_count")
 
     def __init__(self) -> None:
         self.held_bytes = 0
@@ -23,16 +24,22 @@
         """Bound the bodies by the memory that this process may use."""
         others_bytes = MAX_PROCESS_BYTES + MAX_HELD_BYTES
         self.limit_bytes = max(SMALL_BODIES_BYTES, memory_bytes - others_bytes)
+        aim_bytes = int(memory_bytes * MEMORY_AIM_FRACTION) - MAX_PROCESS_BYTES
+        self.aim_bytes = max(SMALL_BODIES_BYTES, aim_bytes)
 
     def has_room(self, body_bytes: int, added_bytes: int) -> bool:
         """Return whether a body that grows to `body_bytes` may be held.
 
-        A part of the memory is kept for small bodies.
+        A part of the memory is kept for small bodies. One long body may take
+        all of the rest, several only as much as the aim.
         """
-        limit_bytes = self.limit_bytes
-        if body_bytes > SMALL_BODY_BYTES:
-            limit_bytes -= SMALL_BODIES_BYTES
-        return self.held_bytes + added_bytes <= limit_bytes
+        total_bytes = self.held_bytes + added_bytes
+        if body_bytes <= SMALL_BODY_BYTES:
+            return total_bytes <= self.limit_bytes
+        if total_bytes > self.limit_bytes - SMALL_BODIES_BYTES:
+            return False
+        is_only_long_one = total_bytes - body_bytes <= SMALL_BODIES_BYTES
+        return is_only_long_one or total_bytes <= self.aim_bytes
 
 
 class HeldBody:
--- a/packages/bilberry_router/src/bilberry_router/http/body.py
+++ b/packages/bilberry_router/src/bilberry_router/http/body.py
@@ -6,6 +6,7 @@
 from .connection import Connection, ConnectionLostError
 from .const import (
     CONTINUE,
+    HEAD_RECV_BYTES,
     MIN_BODY_BYTES_PER_S,
     RECV_BYTES,
 )
@@ -127,7 +128,7 @@
         if self.decoder is not None:
             return self._read_chunks(self.decoder, limit, wait_ms)
         if not self.connection.buffer:
-            self._fill_buffer(wait_ms)
+            self._fill_buffer(wait_ms, min(RECV_BYTES, self.remaining_bytes))
         data = self.connection.take(min(limit, self.remaining_bytes))
         self.remaining_bytes -= len(data)
         self.is_complete = self.remaining_bytes == 0
@@ -135,18 +136,21 @@
 
     def _read_chunks(self, decoder: ChunkDecoder, limit: int, wait_ms: int) -> bytes:
         while True:
+            self.connection.turn.wait()
             counted = decoder.chunk_count
             data = decoder.decode(self.connection.buffer, limit)
             self.is_complete = decoder.is_complete
             self.connection.turn.spend(len(data), decoder.chunk_count - counted)
             if data or self.is_complete:
                 return data
-            self._fill_buffer(wait_ms)
+            # Small chunks stay in the buffer during other callers' turns.
+            is_large = decoder.remaining_bytes >= RECV_BYTES
+            self._fill_buffer(wait_ms, RECV_BYTES if is_large else HEAD_RECV_BYTES)
 
-    def _fill_buffer(self, wait_ms: int) -> None:
+    def _fill_buffer(self, wait_ms: int, limit: int = RECV_BYTES) -> None:
         clock = self.connection.clock
         started_ms = clock.now_ms()
-        self.connection.fill(wait_ms)
+        self.connection.fill(wait_ms, limit)
         self.waited_ms += clock.now_ms() - started_ms
 
     def _is_too_slow(self) -> bool:
--- a/packages/bilberry_router/src/bilberry_router/http/connection.py
+++ b/packages/bilberry_router/src/bilberry_router/http/connection.py
@@ -50,6 +50,7 @@
         Raise ConnectionLostError if the caller has closed the connection,
         ReadTimeoutError if nothing arrives within `timeout_ms`.
         """
+        self.turn.wait()
         try:
             data = receive(self.sock, timeout_ms, limit)
         except Timeout as error:
@@ -133,15 +134,21 @@
         end_ms = self.clock.now_ms() + limit_ms
         discarded_bytes = 0
         while discarded_bytes < limit_bytes:
+            self.turn.wait()
             remaining_ms = end_ms - self.clock.now_ms()
             if remaining_ms <= 0:
                 return
-            self.sock.settimeout(remaining_ms / MS_PER_SECOND)
-            data = self.sock.recv(RECV_BYTES)
-            if not data:
+            count = self._discard_some(remaining_ms)
+            if not count:
                 return
-            discarded_bytes += len(data)
-            self.turn.spend(len(data), items=1)
+            discarded_bytes += count
+
+    def _discard_some(self, timeout_ms: int) -> int:
+        """Discard the next bytes; nothing refers to them afterwards."""
+        self.sock.settimeout(timeout_ms / MS_PER_SECOND)
+        count = len(self.sock.recv(RECV_BYTES))
+        self.turn.spend(count, items=1)
+        return count
 
     def _on_readable(self, on_disconnect: Callable[[], None]) -> None:
         try:
--- a/packages/bilberry_router/src/bilberry_router/http/const.py
+++ b/packages/bilberry_router/src/bilberry_router/http/const.py
@@ -7,9 +7,9 @@
 # A connection that waits with bytes of later requests holds no more of them.
 HEAD_RECV_BYTES = 16_384
 # Work of one turn, after which a greenlet lets others run.
-TURN_WORK_BYTES = 131_072
+TURN_WORK_BYTES = 262_144
 # What a chunk, a header line or a read counts as in a turn's work.
-ITEM_WORK_BYTES = 512
+ITEM_WORK_BYTES = 1_024
 MAX_CHUNKS_PER_CALL = 256
 MAX_CHUNK_LINE_BYTES = 1_024
 # Of one body; signed chunks of 8 KiB take 700 kB for a body of 64 MiB.
--- a/packages/bilberry_router/src/bilberry_router/http/head_reader.py
+++ b/packages/bilberry_router/src/bilberry_router/http/head_reader.py
@@ -18,6 +18,7 @@
     The timeout is of the whole head, however often a part of it arrives.
     Raise ConnectionLostError if the caller has closed the connection.
     """
+    connection.turn.wait()
     buffer = connection.buffer
     if buffer.startswith(END_OF_LINE):
         del buffer[: len(END_OF_LINE)]
--- a/packages/bilberry_router/src/bilberry_router/http/turns.py
+++ b/packages/bilberry_router/src/bilberry_router/http/turns.py
@@ -18,8 +18,15 @@
         self.remaining_bytes = TURN_WORK_BYTES
 
     def spend(self, byte_count: int, items: int = 0) -> None:
-        """Count work; let other greenlets run once the turn is used up."""
+        """Count work that was done."""
         self.remaining_bytes -= byte_count + items * ITEM_WORK_BYTES
+
+    def wait(self) -> None:
+        """Let other greenlets run if the turn is used up.
+
+        Called before bytes are read, as bytes that many greenlets hold while
+        they wait here would count in no limit.
+        """
         if self.remaining_bytes <= 0:
             self.remaining_bytes = TURN_WORK_BYTES
             gevent.sleep(0)
--- a/packages/bilberry_router/src/bilberry_router/http/upstream_socket.py
+++ b/packages/bilberry_router/src/bilberry_router/http/upstream_socket.py
@@ -66,6 +66,7 @@
         Raise ReadTimeoutError if nothing arrives within `timeout_ms`, OSError
         if the connection is lost.
         """
+        self.turn.wait()
         data = receive(self.sock, timeout_ms)
         self.turn.spend(len(data), items=1)
         return data
--- a/tests/bilberry_router/entry/test_held_bodies.py
+++ b/tests/bilberry_router/entry/test_held_bodies.py
@@ -7,6 +7,7 @@
 from bilberry_resources.routing import CallerLimits
 from bilberry_router.entry.connections import ConnectionPool
 from bilberry_router.entry.const import (
+    BODY_PART_BYTES,
     BODY_TIMEOUT_MS,
     DEFAULT_MEMORY_BYTES,
     MAX_HELD_BYTES,
@@ -15,7 +16,7 @@
     SMALL_BODY_BYTES,
 )
 from bilberry_router.entry.forwarder import Forwarder
-from bilberry_router.entry.request_body import read_body
+from bilberry_router.entry.request_body import BodyParts, read_body
 from bilberry_router.entry.request_memory import HeldBody, RequestMemory
 from bilberry_router.http.body import BodyReader
 from bilberry_router.http.connection import Connection
@@ -321,3 +322,47 @@
     body_held.release()
     body_held.release()
     assert memory.held_bytes == held
+
+
+@pytest.mark.parametrize(
+    ("memory_bytes", "aim_bytes"),
+    [(200_000_000, 36_000_000), (300_000_000, 86_000_000), (1, SMALL_BODIES_BYTES)],
+)
+def test_several_long_bodies_take_half_of_the_memory_with_the_process(
+    memory_bytes, aim_bytes
+):
+    """Guard against long bodies that leave little of the machine's memory."""
+    memory = RequestMemory()
+    memory.set_limit(memory_bytes)
+    assert memory.aim_bytes == aim_bytes
+
+
+def test_one_long_body_may_pass_the_aim_and_a_second_one_not():
+    memory = RequestMemory()
+    first, second, small = (HeldBody(memory) for _ in range(3))
+    assert first.try_add(MAX_BODY_BYTES)
+    assert not second.try_add(SMALL_BODY_BYTES + 1)
+    assert small.try_add(SMALL_BODY_BYTES)
+    first.release()
+    assert second.try_add(MAX_BODY_BYTES)
+
+
+def test_bodies_that_grow_beside_each_other_end_at_the_aim():
+    """Guard against chunked bodies that are each the only long one first."""
+    memory = RequestMemory()
+    bodies = [HeldBody(memory) for _ in range(4)]
+    while [body for body in bodies if body.try_add(SMALL_BODY_BYTES)]:
+        pass
+    assert memory.held_bytes <= memory.aim_bytes
+
+
+def test_parts_of_a_body_are_released_while_they_are_joined():
+    """Guard against a body that takes its memory twice when it is whole."""
+    parts = BodyParts()
+    data = [bytes([index]) * (BODY_PART_BYTES // 3 + 1) for index in range(20)]
+    assert [parts.add(part) for part in data] == [len(part) for part in data]
+    assert all(len(part) < 2 * BODY_PART_BYTES for part in parts.parts)
+    assert len(parts.parts) <= 7
+    assert parts.join() == b"".join(data)
+    assert parts.parts == []
+    assert BodyParts().join() == b""
--- a/tests/bilberry_router/http/test_turns.py
+++ b/tests/bilberry_router/http/test_turns.py
@@ -86,12 +86,17 @@
     monkeypatch.setattr(gevent, "sleep", pauses.append)
     turn = Turn()
     turn.spend(TURN_WORK_BYTES - 1)
+    turn.wait()
     assert pauses == []
     turn.spend(1)
+    turn.wait()
+    turn.wait()
     assert pauses == [0]
     turn.spend(0, TURN_WORK_BYTES // ITEM_WORK_BYTES - 1)
+    turn.wait()
     assert pauses == [0]
     turn.spend(0, 1)
+    turn.wait()
     assert pauses == [0, 0]
 
 
@@ -190,3 +195,16 @@
     for _ in range(1_000):
         read_head(connection, HEAD_RECV_BYTES, 1_000).unwrap()
         assert len(connection.buffer) <= HEAD_RECV_BYTES
+
+
+def test_a_connection_that_waits_for_its_turn_holds_no_bytes(monkeypatch):
+    """Guard against bytes that are read and not counted by many at once."""
+    connection = connect(b"x" * RECV_BYTES)
+    reader = reader_of(connection, content_length=BODY_BYTES)
+    buffered = []
+    monkeypatch.setattr(
+        gevent, "sleep", lambda s: buffered.append(len(connection.buffer))
+    )
+    reader.read()
+    assert buffered
+    assert not any(buffered)
