Bound the connections of one caller address, and count refused callers

Callers: 400 idle connections of one address took all of a node's 256 descriptors, so that no other caller got an answer. What is over is closed.

--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -31,6 +31,7 @@
 from ..http.receive import ReadTimeoutError
 from .answer_memory import AnswerMemory, HeldAnswer
 from .answers import refusal_answer
+from .caller_refusals import CallerLimit, limit_of_status
 from .const import (
     BODY_TIMEOUT_MS,
     CLOSE_LINGER_MS,
@@ -83,6 +84,7 @@
         "is_reading",
         "is_writing",
         "limits",
+        "on_refusal",
         "pending",
         "refused_body_bytes",
         "request_memory",
@@ -96,6 +98,7 @@
         clock: Clock,
         answer_memory: AnswerMemory,
         request_memory: RequestMemory,
+        on_refusal: Callable[[CallerLimit], None],
     ) -> None:
         self.connection = Connection(sock, clock)
         self.handler = handler
@@ -103,6 +106,7 @@
         self.clock = clock
         self.answer_memory = answer_memory
         self.request_memory = request_memory
+        self.on_refusal = on_refusal
         self.refused_body_bytes = 0
         self.pending: deque[Exchange] = deque()
         self.answer_ready = Event()
@@ -315,6 +319,7 @@
 
     def reject(self, error: RequestError) -> None:
         """Answer an invalid request with an error and close."""
+        self.on_refusal(limit_of_status(error.status))
         self.answer_unread(local_answer(error.status, error.reason))
 
     def refuse_body(self, head: RequestHead, unread_bytes: int) -> None:
@@ -324,6 +329,7 @@
         its body before it reads the refusal.
         """
         self.request_memory.refused_count += 1
+        self.on_refusal(CallerLimit.MEMORY)
         self.refused_body_bytes = unread_bytes
         # The headers tell requests apart, also without the name of their id.
         retry_after_ms = spread_retry_after_ms(REFUSED_BODY_RETRY_MS, str(head.headers))
@@ -346,6 +352,7 @@
         """Close gracefully, so that a reset can't cut the last answer."""
         if self.connection.is_aborted:
             return
+        self.connection.buffer.clear()
         if self.refused_body_bytes > 0:
             self.connection.linger(REFUSED_BODY_LINGER_MS, self.refused_body_bytes)
         else:
--- a/packages/bilberry_router/src/bilberry_router/entry/listener.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/listener.py
@@ -16,6 +16,8 @@
 
 from .answer_memory import AnswerMemory
 from .caller import CallerConnection, Handler
+from .caller_refusals import CallerRefusals
+from .connection_limits import ConnectionLimits
 from .const import DRAIN_POLL_MS, MAX_CONNECTIONS
 from .request_memory import RequestMemory
 
@@ -30,10 +32,13 @@
     __slots__ = (
         "answer_memory",
         "clock",
+        "connection_limits",
         "connections",
         "draining",
         "handler",
+        "is_auxiliary",
         "limits",
+        "refusals",
         "request_memory",
         "server",
     )
@@ -46,9 +51,14 @@
         clock: Clock,
         answer_memory: AnswerMemory | None = None,
         request_memory: RequestMemory | None = None,
+        connection_limits: ConnectionLimits | None = None,
+        is_auxiliary: bool = False,
     ) -> None:
         self.answer_memory = answer_memory or AnswerMemory()
         self.request_memory = request_memory or RequestMemory()
+        self.connection_limits = connection_limits or ConnectionLimits()
+        self.is_auxiliary = is_auxiliary
+        self.refusals = CallerRefusals(clock)
         self.handler = handler
         self.limits = limits
         self.clock = clock
@@ -83,7 +93,20 @@
         self.server.stop(timeout=0)
 
     def serve(self, sock: Any, address: Any) -> None:
-        """Serve one accepted connection."""
+        """Serve one accepted connection, or close it at a limit."""
+        host = address[0]
+        limit = self.connection_limits.try_add(host, self.is_auxiliary)
+        if limit is not None:
+            self.refusals.record(limit, host)
+            sock.close()
+            return
+        try:
+            self.serve_counted(sock, host)
+        finally:
+            self.connection_limits.remove(host)
+
+    def serve_counted(self, sock: Any, host: str) -> None:
+        """Serve one connection that counts towards the limits."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = CallerConnection(
             sock,
@@ -92,6 +115,7 @@
             self.clock,
             self.answer_memory,
             self.request_memory,
+            lambda limit: self.refusals.record(limit, host),
         )
         connection.is_draining = self.draining
         self.connections.add(connection)
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -281,3 +281,15 @@
         "Time that this node ran nothing in these.",
         inputs.standstills.total_ms,
     )
+
+
+@METRIC_SOURCES.register("refused_callers")
+def add_refused_callers(inputs: MetricInputs, metrics: MetricSet) -> None:
+    """Add the callers refused by the entry, by the limit."""
+    for limit, number in inputs.entry_listener.refusals.counts.items():
+        metrics.set_counter(
+            "bilberry_refused_callers_total",
+            "Connections closed and requests refused unrun, by the limit.",
+            number,
+            limit=limit,
+        )
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -227,9 +227,13 @@
         if self.config_listener.is_current:
             self.state.config_proof.record(began_ms)
 
-    def set_memory_limit(self, memory_bytes: int) -> None:
-        """Set the memory that this process may use."""
+    def set_process_limits(self, memory_bytes: int, address_connections: int) -> None:
+        """Set the memory of this process, and the connections of an address.
+
+        With 0, one address may have a fraction of all connections.
+        """
         self.entry_listener.request_memory.set_limit(memory_bytes)
+        self.entry_listener.connection_limits.max_of_address = address_connections
 
     def install(self, config: RoutingConfig) -> bool:
         """Install a configuration if it is newer; return whether it was."""
@@ -309,6 +313,8 @@
                 CallerLimits,
                 self.clock,
                 request_memory=self.entry_listener.request_memory,
+                connection_limits=self.entry_listener.connection_limits,
+                is_auxiliary=True,
             )
             for address, handler in handlers
             if address
--- a/tests/bilberry_platform/test_metrics.py
+++ b/tests/bilberry_platform/test_metrics.py
@@ -126,3 +126,12 @@
             lines = read_metrics(other)
             name = 'bilberry_entry_slow_upstreams{service="s"}'
             assert metric_value(lines, name) == 1
+
+
+def test_refused_callers_are_counted_by_the_limit():
+    with Deployment() as deployment:
+        node = deployment.node()
+        listener = node.entry_listener
+        assert fetch(listener, "/read/x", headers=("Content-Length: x",)).status == 400
+        refused = 'bilberry_refused_callers_total{limit="format"}'
+        assert metric_value(read_metrics(node), refused) == 1
