--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -233,9 +233,13 @@
         """Return how many retries may be made for each request."""
         return self.state.shared_limits.retry_fraction
 
-    def set_memory_limit(self, memory_bytes: int) -> None:
-        """Set the memory that this process may use."""
+    def set_process_limits(self, memory_bytes: int, address_connections: int) -> None:
+        """Set the memory of this process, and the connections of an address.
+
+        With 0, one address may have a fraction of all connections.
+        """
         self.entry_listener.request_memory.set_limit(memory_bytes)
+        self.entry_listener.connection_limits.max_of_address = address_connections
 
     def install(self, config: RoutingConfig) -> bool:
         """Install a configuration if it is newer; return whether it was."""
@@ -316,6 +320,8 @@
                 CallerLimits,
                 self.clock,
                 request_memory=self.entry_listener.request_memory,
+                connection_limits=self.entry_listener.connection_limits,
+                is_auxiliary=True,
             )
             for address, handler in handlers
             if address
--- a/packages/bilberry_router/src/bilberry_router/http/connection.py
+++ b/packages/bilberry_router/src/bilberry_router/http/connection.py
@@ -12,6 +12,7 @@
 
 from .const import MAX_LINGER_BYTES, RECV_BYTES
 from .receive import ReadTimeoutError, receive
+from .turns import Turn
 
 _READ_EVENT = 1
 _LINGER_RESET = struct.pack("ii", 1, 0)
@@ -24,24 +25,34 @@
 class Connection:
     """Represent a caller's connection: buffered reads, close detection."""
 
-    __slots__ = ("buffer", "clock", "is_aborted", "is_idle", "sock", "watcher")
+    __slots__ = (
+        "buffer",
+        "clock",
+        "is_aborted",
+        "is_idle",
+        "sock",
+        "turn",
+        "watcher",
+    )
 
     def __init__(self, sock: Any, clock: Clock) -> None:
         self.sock = sock
         self.clock = clock
         self.buffer = bytearray()
+        self.turn = Turn()
         self.is_aborted = False
         self.is_idle = False
         self.watcher: Any = None
 
-    def fill(self, timeout_ms: int) -> None:
-        """Read the next bytes from the socket into the buffer.
+    def fill(self, timeout_ms: int, limit: int = RECV_BYTES) -> None:
+        """Read up to `limit` bytes from the socket into the buffer.
 
         Raise ConnectionLostError if the caller has closed the connection,
         ReadTimeoutError if nothing arrives within `timeout_ms`.
         """
+        self.turn.wait()
         try:
-            data = receive(self.sock, timeout_ms)
+            data = receive(self.sock, timeout_ms, limit)
         except Timeout as error:
             raise ReadTimeoutError from error
         except OSError as error:
@@ -49,6 +60,7 @@
         if not data:
             raise ConnectionLostError
         self.buffer += data
+        self.turn.spend(len(data), items=1)
 
     def take(self, count: int) -> bytes:
         """Remove up to `count` bytes from the buffer and return them."""
@@ -122,14 +134,21 @@
         end_ms = self.clock.now_ms() + limit_ms
         discarded_bytes = 0
         while discarded_bytes < limit_bytes:
+            self.turn.wait()
             remaining_ms = end_ms - self.clock.now_ms()
             if remaining_ms <= 0:
                 return
-            self.sock.settimeout(remaining_ms / MS_PER_SECOND)
-            data = self.sock.recv(RECV_BYTES)
-            if not data:
+            count = self._discard_some(remaining_ms)
+            if not count:
                 return
-            discarded_bytes += len(data)
+            discarded_bytes += count
+
+    def _discard_some(self, timeout_ms: int) -> int:
+        """Discard the next bytes; nothing refers to them afterwards."""
+        self.sock.settimeout(timeout_ms / MS_PER_SECOND)
+        count = len(self.sock.recv(RECV_BYTES))
+        self.turn.spend(count, items=1)
+        return count
 
     def _on_readable(self, on_disconnect: Callable[[], None]) -> None:
         try:
