--- /dev/null
+++ b/packages/bilberry_balance/src/bilberry_balance/quota/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the requests of each workspace within its quota over all nodes."""
