Keep quotas of workspaces over all nodes

Callers: a workspace over its rate was served as any other. Change: with bounds.quota_window_s, a request of a workspace that is over its quota gets 429 with Retry-After before anything is placed, and counts as not run. One that waits counts from when it is sent; one that is sent to no upstream gives its credit back; retries in the node take none. Heartbeats and summaries carry the counts of workspaces that are not idle, in new trailing fields, and go early when demand rises. Metric bilberry_entry_quota_requests_total; one log line in 10 s at most. Without the setting nothing is counted, told or refused. Tests: those of the entry, of discovery and the named ones of the platform (metrics, decoding, quotas) pass, with real listeners, heartbeats and upstreams.

--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/heartbeats.py
@@ -49,14 +49,26 @@
     """Discard a message; the default without a receiver."""
 
 
+def complete_summary(summary: DomainSummary, now_ms: int) -> DomainSummary:
+    """Return a summary as it is; the default without anything to add."""
+    return summary
+
+
+def needs_no_early_send(now_ms: int) -> bool:
+    """Return False; the default if nothing is urgent."""
+    return False
+
+
 class HeartbeatTask:
     """Send and receive heartbeats and summaries on one UDP socket."""
 
     __slots__ = (
         "clock",
+        "complete_summary",
         "decoder",
         "greenlets",
         "make_heartbeat",
+        "needs_early_send",
         "on_heartbeat",
         "on_proof_message",
         "on_summary",
@@ -83,6 +95,10 @@
         self.on_summary = on_summary
         self.on_suspect_message: Callable[[SuspectMessage, str], None] = discard_message
         self.on_proof_message: Callable[[ProofMessage, str], None] = discard_message
+        self.complete_summary: Callable[[DomainSummary, int], DomainSummary] = (
+            complete_summary
+        )
+        self.needs_early_send: Callable[[int], bool] = needs_no_early_send
         self.schedule = SendSchedule(peers)
         self.decoder = msgspec.msgpack.Decoder(
             Heartbeat
@@ -168,6 +184,8 @@
 
     def send_due(self, now_ms: int) -> None:
         """Send the heartbeat and the summaries that are due."""
+        if self.needs_early_send(now_ms):
+            self.schedule.send_all_now()
         if self.schedule.take_heartbeat(now_ms):
             data = msgspec.msgpack.encode(self.make_heartbeat())
             peers = self.peers.known_domain_peers()
@@ -181,7 +199,7 @@
         summary = self.peers.summarize(
             self.make_heartbeat(), age_ms < DETAILS_MS, now_ms
         )
-        data = msgspec.msgpack.encode(summary)
+        data = msgspec.msgpack.encode(self.complete_summary(summary, now_ms))
         self._send_to_all(targets, data, PURPOSE_SUMMARY)
 
     def send_to(
--- a/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
+++ b/packages/bilberry_fleet/src/bilberry_fleet/discovery/messages.py
@@ -5,6 +5,7 @@
 from bilberry_balance.placement.rate_limit import RateLimitReport
 from bilberry_balance.placement.restarts import RestartReport
 from bilberry_balance.placement.slow_reports import SlowReport
+from bilberry_balance.quota.reports import QuotaReport
 from bilberry_balance.suspects import SuspectReport
 
 
@@ -28,7 +29,8 @@
     kinds in `store_era`, in the order of the node's feeds. `slow_upstreams`
     are those that any node lately found slow. `rate_limits` are what answers
     to the node named, and `send_rates` the node's requests a second at limited
-    upstreams. `restarts` are the upstreams that lately ended or came back.
+    upstreams. `restarts` are the upstreams that lately ended or came back, and
+    `quotas` the requests of workspaces with a limit.
     """
 
     node: NodeInfo
@@ -43,15 +45,16 @@
     send_rates: dict[str, float] = {}
     store_era: int = 0
     restarts: list[RestartReport] = []
+    quotas: list[QuotaReport] = []
 
 
 class DomainSummary(msgspec.Struct, array_like=True, tag="domain"):
     """Represent all live nodes of a failure domain, for the other domains.
 
     `ready` and `not_ready` name the nodes, `details` describes those that
-    started recently, `in_flight` and `send_rates` are the sums of their
-    requests, `revisions` are the latest that any of them knows. The node that
-    receives it from its sender passes it on in its own domain once, with
+    started recently, `in_flight`, `send_rates` and `quotas` are the sums of
+    their requests, `revisions` are the latest that any of them knows. The node
+    that receives it from its sender passes it on in its own domain once, with
     `is_relayed` set.
     """
 
@@ -71,6 +74,7 @@
     send_rates: dict[str, float] = {}
     store_era: int = 0
     restarts: list[RestartReport] = []
+    quotas: list[QuotaReport] = []
 
 
 class TrialRequest(msgspec.Struct, frozen=True):
--- a/packages/bilberry_router/src/bilberry_router/entry/answers.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/answers.py
@@ -16,9 +16,15 @@
 
 def refusal_answer(detail: str, retry_after_ms: int) -> EntryAnswer:
     """Return a 503 answer to a request that has not run."""
+    return retry_later_answer(HTTPStatus.SERVICE_UNAVAILABLE, detail, retry_after_ms)
+
+
+def retry_later_answer(
+    status: HTTPStatus, detail: str, retry_after_ms: int
+) -> EntryAnswer:
+    """Return an answer to a request that has not run, and may come back."""
     seconds = f"{retry_after_ms / MS_PER_SECOND:.3f}"
-    headers = [(HEADER_RETRY_AFTER, seconds)]
-    return local_answer(HTTPStatus.SERVICE_UNAVAILABLE, detail, headers)
+    return local_answer(status, detail, [(HEADER_RETRY_AFTER, seconds)])
 
 
 def draining_answer() -> EntryAnswer:
--- a/packages/bilberry_router/src/bilberry_router/entry/counts.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/counts.py
@@ -13,6 +13,10 @@
 from .messages import EntryAnswer
 
 NO_SERVICE = ""
+# Of this node's own answers that are worth a retry, as nothing has run.
+REFUSED_STATUSES = frozenset(
+    {HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE}
+)
 END_ANSWERED = "answered"
 END_UPSTREAM_FAILED = "upstream_failed"
 
@@ -85,6 +89,7 @@
     placements: Counter[PlacementLabels] = field(default_factory=Counter)
     bytes: Counter[TrafficLabels] = field(default_factory=Counter)
     denials: Counter[str] = field(default_factory=Counter)
+    quotas: Counter[str] = field(default_factory=Counter)
     histograms: dict[str, ServiceHistograms] = field(default_factory=dict)
 
     def for_service(self, service: str) -> ServiceHistograms:
@@ -123,7 +128,7 @@
     if not answer.detail:
         failed = answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR
         return AnswerKind.UPSTREAM_FAILED if failed else AnswerKind.ANSWERED
-    if answer.status == HTTPStatus.SERVICE_UNAVAILABLE:
+    if answer.status in REFUSED_STATUSES:
         return AnswerKind.NOT_RUN
     if answer.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
         return AnswerKind.UNKNOWN
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -41,6 +41,7 @@
 from .messages import EntryAnswer, EntryRequest, HeaderNames, local_answer
 from .permits import Permit
 from .placer import PlacementRequest, Placer, Unplaced
+from .quota_admission import QuotaAdmission
 from .rate_limit_log import RateLimitLog
 from .request_log import RequestLog
 from .rereads import Rereads
@@ -68,6 +69,7 @@
         "is_refusing",
         "outcome_recorder",
         "placer",
+        "quota_admission",
         "rate_limit_log",
         "request_log",
         "rereads",
@@ -95,6 +97,7 @@
         self.request_log = RequestLog(state, placer)
         self.retry_decisions = RetryDecisions(state)
         self.access = AccessControl(state)
+        self.quota_admission = QuotaAdmission(state)
         self.route_updates = RouteUpdates(state, self.access)
         self.suspects = EntrySuspects(state.node, state.clock)
         self.crash_evidence = CrashEvidence(state, self.suspects, header_names)
@@ -121,10 +124,15 @@
         permit = self.access.decide(request.head, entry.rule)
         if not isinstance(permit, Permit):
             return self.count_answer(request, self.access.refuse(permit))
+        counted = self.quota_admission.admit(permit)
+        if isinstance(counted, EntryAnswer):
+            return self.count_answer(request, counted)
         active = self.start_request(request, entry, permit)
+        active.quota_counted_ms = counted
         try:
             answer = self.forward(active)
         finally:
+            self.quota_admission.record_end(active)
             active.held_error.release()
             if active.witness is not None:
                 active.witness.close()
@@ -275,6 +283,7 @@
         active.last_sent_ms = now_ms - active.request.arrived_ms
         if active.first_sent_ms < 0:
             active.first_sent_ms = active.last_sent_ms
+            self.quota_admission.record_sent(active, now_ms)
         return encode_request_head(
             active.request,
             upstream,
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -42,6 +42,7 @@
 from bilberry_store.backoff import Backoff
 
 from .platform import Platform
+from .quota_exchange import QuotaExchange
 from .rate_limit_log import log_rate_limit
 from .state import EntryState
 from .suspect_peers import SuspectPeers
@@ -66,6 +67,7 @@
         "peers",
         "platform",
         "proof_calls",
+        "quota_exchange",
         "records",
         "state",
         "store_era",
@@ -103,6 +105,7 @@
             self.on_heartbeat,
             self.on_summary,
         )
+        self.quota_exchange = QuotaExchange(state, self.heartbeats)
         self.proof_calls = ProofCalls(
             state.config_proof,
             self.heartbeats,
@@ -221,6 +224,7 @@
             self.state.rate_limiter.send_rates(upstreams, now_ms),
             self.store_era.value,
             self.state.restarts.make_reports(now_ms),
+            self.quota_exchange.make_reports(now_ms),
         )
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
@@ -232,6 +236,7 @@
         self.merge_restarts(heartbeat.restarts, now_ms)
         self.merge_rates(name, heartbeat.send_rates, heartbeat.rate_limits, now_ms)
         self.merge_revisions(heartbeat.store_era, heartbeat.revisions, now_ms)
+        self.quota_exchange.on_heartbeat(heartbeat, now_ms)
         self.update_node_count()
 
     def on_summary(self, summary: DomainSummary) -> None:
@@ -248,6 +253,7 @@
             summary.failure_domain, summary.send_rates, summary.rate_limits, now_ms
         )
         self.merge_revisions(summary.store_era, summary.revisions, now_ms)
+        self.quota_exchange.on_summary(summary, now_ms)
 
     def merge_reports(
         self,
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -106,6 +106,13 @@
             number,
             reason=reason,
         )
+    for result, number in counts.quotas.items():
+        metrics.set_counter(
+            "bilberry_entry_quota_requests_total",
+            "Requests of workspaces, by what their quotas allowed.",
+            number,
+            result=result,
+        )
     for traffic, size in counts.bytes.items():
         metrics.set_counter(
             "bilberry_entry_bytes_total",
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -11,6 +11,8 @@
 from bilberry_balance.placement.rate_limiter import RateLimiter
 from bilberry_balance.placement.restarts import RestartTracker
 from bilberry_balance.placement.selector import UpstreamSelector
+from bilberry_balance.quota.limiter import QuotaLimiter
+from bilberry_balance.quota.reports import QuotaBounds
 from bilberry_balance.retry_window import RetryWindow
 from bilberry_core.clock import Clock
 from bilberry_core.ids import stable_hash
@@ -37,7 +39,7 @@
     requests, plus `retry_slack`, in any `retry_window_ms`. `max_region_shift`
     is the largest fraction of a region's requests that may change region in
     2 s. Keys that were taken away stop to work after `revoke_ms` at all nodes;
-    0 is no limit.
+    0 is no limit. Without `quota`, those of workspaces are not kept.
     """
 
     retry_fraction: float
@@ -46,6 +48,7 @@
     max_region_shift: float
     stop_grace_ms: int
     revoke_ms: int = 0
+    quota: QuotaBounds | None = None
 
 
 @dataclass(slots=True)
@@ -70,6 +73,7 @@
     retry_budgets: dict[str, RetryWindow] = field(default_factory=dict)
     counts: EntryCounts = field(default_factory=EntryCounts)
     known_nodes: int = 1
+    quotas: QuotaLimiter | None = None
 
     def __post_init__(self) -> None:
         """Create the components."""
@@ -90,6 +94,7 @@
         self.region_share_limiter = RegionShareLimiter(
             self.shared_limits.max_region_shift
         )
+        self.set_quota_bounds(self.shared_limits.quota)
 
     @property
     def limits(self) -> CallerLimits:
@@ -114,6 +119,8 @@
         if not self.routes.install(config):
             return False
         self.keys.install(config.workspaces)
+        if self.quotas is not None:
+            self.quotas.set_workspaces(config.workspaces, self.clock.now_ms())
         return True
 
     def processing_times(self, rule: RouteRule, service: str) -> ProcessingTimes:
@@ -147,6 +154,8 @@
         self.known_nodes = count
         self.cold_rate_limiter.set_node_count(count)
         self.rate_limiter.node_count = count
+        if self.quotas is not None:
+            self.quotas.node_count = count
         for budget in self.retry_budgets.values():
             budget.slack = self.retry_slack()
 
@@ -202,6 +211,20 @@
         self.config_proof.revoke_ms = shared_limits.revoke_ms
         self.region_share_limiter.set_max_share(shared_limits.max_region_shift)
         self.retry_budgets.clear()
+        self.set_quota_bounds(shared_limits.quota)
+
+    def set_quota_bounds(self, bounds: QuotaBounds | None) -> None:
+        """Keep quotas by these bounds; the counts end with another window."""
+        if bounds is None:
+            self.quotas = None
+            return
+        if self.quotas is not None and self.quotas.set_bounds(bounds):
+            return
+        self.quotas = QuotaLimiter(self.node, bounds)
+        self.quotas.node_count = self.known_nodes
+        config = self.routes.config
+        if config is not None:
+            self.quotas.set_workspaces(config.workspaces, self.clock.now_ms())
 
     def in_flight(self) -> dict[str, int]:
         """Return this node's in-flight requests by upstream, without zeros."""
--- a/tests/bilberry_platform/test_decoding.py
+++ b/tests/bilberry_platform/test_decoding.py
@@ -3,6 +3,7 @@
 import pytest
 
 from bilberry_balance.authentication import key_digest
+from bilberry_balance.quota.reports import QuotaBounds
 from bilberry_core.outcome import Failure
 from bilberry_fleet.discovery.source import Record
 from bilberry_platform.config import decode_config
@@ -265,6 +266,16 @@
     assert load_settings(path).unwrap().shared_limits().revoke_ms == 5_000
 
 
+def test_settings_tell_how_far_quotas_may_be_exceeded(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    assert load_settings(path).unwrap().shared_limits().quota is None
+    bounds = "[bounds]\nquota_window_s = 5\nquota_overage = 0.1\nquota_slack = 20"
+    path.write_text(SETTINGS.replace("[bounds]", bounds))
+    expected = QuotaBounds(5_000, 0.1, 20)
+    assert load_settings(path).unwrap().shared_limits().quota == expected
+
+
 def test_settings_tell_the_memory_of_the_process(tmp_path):
     path = tmp_path / "boot.toml"
     path.write_text(SETTINGS)
