Count attempts that cross regions in opposite directions

`bench placement` plays such demand (a third of the callers at a tenth of the upstreams, waves that follow each other by a third of 36 s) but showed no flows. It now shows the part of attempts that cross regions, and of pairs of a service's attempts in opposite directions within 2 s.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -88,6 +88,7 @@
     report = Report()
     columns = ["deployment", "credit", "settled", "worst domain", "worst service"]
     columns += ["served", "refused", "misses", "connects"]
+    columns += ["crossing", "opposite"]
     table = report.table("What callers get, as fractions", columns)
     sizes = QUICK_SIZES if options.quick else FULL_SIZES
     seconds = SECONDS if options.quick else FULL_SECONDS
@@ -105,6 +106,8 @@
             outcome.refused,
             outcome.misses,
             outcome.connects,
+            outcome.crossing,
+            outcome.opposite,
         )
     mean = sum(credits) / len(credits)
     add_machines(report, options, seconds)
--- a/bench/placement_attempt.py
+++ b/bench/placement_attempt.py
@@ -8,6 +8,22 @@
 from .placement_model import Call
 from .placement_node import SimulatedNode
 
+FLOW_WINDOW_MS = 2_000
+
+
+@dataclass(slots=True, frozen=True)
+class Flow:
+    """Name a service's attempts from region to region in a short time."""
+
+    service: str
+    window: int
+    source: str
+    target: str
+
+    def opposite(self) -> "Flow":
+        """Return the flow of the same time in the other direction."""
+        return Flow(self.service, self.window, self.target, self.source)
+
 
 @dataclass(slots=True)
 class Grant:
@@ -41,3 +57,13 @@
     connect_ms: int = 0
     is_working: bool = False
     has_ended: bool = False
+
+
+def flow_of(attempt: SimulatedAttempt) -> Flow:
+    """Return the flow that an attempt belongs to."""
+    return Flow(
+        attempt.call.service.name,
+        attempt.sent_at_ms // FLOW_WINDOW_MS,
+        attempt.node.location.region,
+        attempt.selection.upstream.spec.region,
+    )
--- a/bench/placement_outcome.py
+++ b/bench/placement_outcome.py
@@ -1,9 +1,11 @@
 """Summarize what the callers of a placement simulation got."""
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import groupby
 
+from .placement_attempt import Flow
 from .placement_model import Call
 from .placement_sim import PlacementSimulation
 
@@ -17,7 +19,9 @@
     """Store fractions of what callers are owed, and of their requests.
 
     `settled` is the credit once the caches have filled, `worst_domain` and
-    `worst_service` that of the worst of each.
+    `worst_service` that of the worst of each. `crossing` is the fraction of
+    attempts in another region, `opposite` that of pairs of attempts in
+    opposite directions.
     """
 
     credit: float
@@ -28,6 +32,8 @@
     refused: float
     misses: float
     connects: float
+    crossing: float
+    opposite: float
 
 
 def outcome_of(simulation: PlacementSimulation) -> Outcome:
@@ -46,6 +52,8 @@
         sum(call.refused for call in calls) / len(calls),
         misses / (hits + misses),
         simulation.connects / len(simulation.calls),
+        crossing_of(simulation.flows),
+        opposite_of(simulation.flows),
     )
 
 
@@ -55,6 +63,22 @@
     return sum(call.credit() for call in calls) / owed
 
 
+def crossing_of(flows: Counter[Flow]) -> float:
+    """Return the fraction of attempts that left their region."""
+    crossing = sum(n for flow, n in flows.items() if flow.source != flow.target)
+    return crossing / flows.total()
+
+
+def opposite_of(flows: Counter[Flow]) -> float:
+    """Return the pairs of a service's opposite attempts, by all attempts."""
+    pairs = sum(
+        min(number, flows[flow.opposite()])
+        for flow, number in flows.items()
+        if flow.source < flow.target
+    )
+    return pairs / flows.total()
+
+
 def _worst(calls: list[Call], key: Callable[[Call], str]) -> float:
     groups = groupby(sorted(calls, key=key), key)
     return min(credit_of(list(found)) for _, found in groups)
--- a/bench/placement_sim.py
+++ b/bench/placement_sim.py
@@ -1,6 +1,7 @@
 """Play a fleet's requests through the real placement, on a manual clock."""
 
 import random
+from collections import Counter
 from dataclasses import dataclass, field, replace
 
 from bilberry_balance.placement.admission import Refusal
@@ -14,7 +15,7 @@
 from bilberry_router.entry.const import EXPIRY_INTERVAL_MS, QUEUE_POLL_MS
 from bilberry_router.entry.placer import PlacementRequest
 
-from .placement_attempt import Grant, SimulatedAttempt
+from .placement_attempt import Flow, Grant, SimulatedAttempt, flow_of
 from .placement_events import EventLoop
 from .placement_machines import Machine
 from .placement_model import (
@@ -46,6 +47,7 @@
     specs: dict[str, UpstreamSpec] = field(default_factory=dict)
     nodes: dict[str, list[SimulatedNode]] = field(default_factory=dict)
     calls: list[Call] = field(default_factory=list)
+    flows: Counter[Flow] = field(default_factory=Counter)
     connects: int = 0
 
     @property
@@ -230,6 +232,7 @@
         """Send a request to the selected upstream."""
         upstream = selection.upstream
         attempt = SimulatedAttempt(node, call, selection, self.clock.now_ms())
+        self.flows[flow_of(attempt)] += 1
         delay_ms = self.delay_ms(node.location, upstream.spec)
         self.loop.at(call.deadline_ms(), self.time_out, attempt)
         if node.take_connection(upstream):
