Use a small part of quotas until the nodes are listed

Callers: a node that starts while the store turns it away knows of no other node, and would take the whole quota of each workspace for itself. Change: until the store has listed the nodes, quotas are divided by more nodes than there may be.

--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -55,6 +55,9 @@
 # requests in other windows, of which a node's own may cover three quarters.
 RETRY_LIMIT_FRACTION = 0.75
 
+# Assumed until the store has listed the nodes; more than there may be.
+UNLISTED_NODES = 1_000
+
 DIRECTORY_TTL_MS = 2_000
 MAX_DIRECTORY_NODES = 64
 
--- a/packages/bilberry_router/src/bilberry_router/entry/membership.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/membership.py
@@ -315,6 +315,7 @@
         for record in snapshot.records:
             self._put(record)
         self._update_peers()
+        self.state.record_node_list()
         self.register_again()
         return self.records != known
 
--- a/packages/bilberry_router/src/bilberry_router/entry/state.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/state.py
@@ -27,7 +27,7 @@
 from bilberry_steering.region_share_limiter import RegionShareLimiter
 from bilberry_steering.route_table import RouteTable
 
-from .const import RETRY_LIMIT_FRACTION
+from .const import RETRY_LIMIT_FRACTION, UNLISTED_NODES
 from .counts import EntryCounts
 
 
@@ -73,6 +73,7 @@
     retry_budgets: dict[str, RetryWindow] = field(default_factory=dict)
     counts: EntryCounts = field(default_factory=EntryCounts)
     known_nodes: int = 1
+    has_node_list: bool = False
     quotas: QuotaLimiter | None = None
 
     def __post_init__(self) -> None:
@@ -152,10 +153,9 @@
         if count == self.known_nodes:
             return
         self.known_nodes = count
+        self.set_quota_nodes()
         self.cold_rate_limiter.set_node_count(count)
         self.rate_limiter.node_count = count
-        if self.quotas is not None:
-            self.quotas.node_count = count
         for budget in self.retry_budgets.values():
             budget.slack = self.retry_slack()
 
@@ -213,6 +213,17 @@
         self.retry_budgets.clear()
         self.set_quota_bounds(shared_limits.quota)
 
+    def record_node_list(self) -> None:
+        """Record that the known nodes are all that the store lists."""
+        self.has_node_list = True
+        self.set_quota_nodes()
+
+    def set_quota_nodes(self) -> None:
+        """Divide quotas by all nodes; before they are listed, by many."""
+        if self.quotas is not None:
+            count = self.known_nodes if self.has_node_list else UNLISTED_NODES
+            self.quotas.node_count = count
+
     def set_quota_bounds(self, bounds: QuotaBounds | None) -> None:
         """Keep quotas by these bounds; the counts end with another window."""
         if bounds is None:
@@ -221,7 +232,7 @@
         if self.quotas is not None and self.quotas.set_bounds(bounds):
             return
         self.quotas = QuotaLimiter(self.node, bounds)
-        self.quotas.node_count = self.known_nodes
+        self.set_quota_nodes()
         config = self.routes.config
         if config is not None:
             self.quotas.set_workspaces(config.workspaces, self.clock.now_ms())
--- a/tests/bilberry_router/entry/test_quota_admission.py
+++ b/tests/bilberry_router/entry/test_quota_admission.py
@@ -20,6 +20,7 @@
 def rig():
     with Rig() as running:
         running.state.set_shared_limits(replace(SHARED_LIMITS, quota=BOUNDS))
+        running.state.record_node_list()
         limited = workspace(rate_per_s=1.0, burst=2.0)
         running.state.install(keyed_config(2, limited))
         yield running
@@ -83,6 +84,16 @@
     assert used(rig) == 9
 
 
+def test_a_node_that_knows_no_other_uses_a_small_part():
+    """A node that can't read the list of nodes is not the only one."""
+    with Rig() as rig:
+        rig.state.set_shared_limits(replace(SHARED_LIMITS, quota=BOUNDS))
+        rig.state.install(keyed_config(2, workspace(rate_per_s=100.0)))
+        statuses = [ask(rig, index).status for index in range(30)]
+        assert statuses.count(200) <= 2
+        assert rig.state.counts.quotas["alone"] >= 28
+
+
 def test_without_the_settings_no_quotas_are_kept():
     """Earlier deployments are served as before."""
     with Rig() as rig:
