--- a/packages/bilberry_balance/src/bilberry_balance/quota/const.py
+++ b/packages/bilberry_balance/src/bilberry_balance/quota/const.py
@@ -8,15 +8,17 @@
 # Over which the usual demand is measured.
 USUAL_MS = 8_000
 # What is admitted must last until the counts of others are known.
-HORIZON_MS = 500
+HORIZON_MS = 400
 # Of peers in the own failure domain.
 MEAN_PEER_AGE_MS = 200
 # A source that is silent for longer may have lost the connection.
 PEER_SILENT_MS = 1_300
 DOMAIN_SILENT_MS = 3_000
 # Room for chance, in square roots of the limit: what is unknown is a part of
-# the window, and stays within four deviations of its mean.
-CHANCE_MARGIN = 2.2
+# the window, so that its deviation is smaller than that of the whole.
+CHANCE_MARGIN = 1.3
+# Room for a rise before it shows, as a fraction of the limit.
+RISE_MARGIN = 0.07
 # A number of requests is surely of a demand this many deviations below it.
 RISE_DEVIATIONS = 2.4
 MIN_USUAL = 0.01
--- a/packages/bilberry_balance/src/bilberry_balance/quota/workspace_quota.py
+++ b/packages/bilberry_balance/src/bilberry_balance/quota/workspace_quota.py
@@ -22,6 +22,7 @@
     RECENT_MS,
     RECENT_PART_MS,
     RISE_DEVIATIONS,
+    RISE_MARGIN,
     USUAL_MS,
 )
 from .reports import QuotaBounds
@@ -133,12 +134,12 @@
     def ceiling(self) -> float:
         """Return the requests up to which to admit, less room for chance."""
         most = self.limit * (1 + self.bounds.overage) + self.bounds.slack
-        return max(most / 2, most - self.chance_margin)
+        return max(most / 2, most - self.margin)
 
     @property
-    def chance_margin(self) -> float:
-        """Return the room to leave for chance."""
-        return CHANCE_MARGIN * math.sqrt(self.limit)
+    def margin(self) -> float:
+        """Return the room to leave for chance and for rises."""
+        return CHANCE_MARGIN * math.sqrt(self.limit) + RISE_MARGIN * self.limit
 
     def domain_recent(self, now_ms: int) -> int:
         """Return the recent demand in the own failure domain."""
@@ -197,7 +198,7 @@
         estimate = self.estimate(view, now_ms)
         leaving = (estimate.used - self.silent_used) / self.bounds.window_ms
         room = self.room(estimate, view)
-        if room < -self.chance_margin * view.heard_fraction / 2:
+        if room < -self.margin * view.heard_fraction / 2:
             self.admitted_fraction = 0.0
             return 0.0
         room += leaving * HORIZON_MS
