Start no request behind an answer that closes the connection

Since heads may wait for their turn, an answer that closes the connection may be written while the next head is read; the request would have run, if idempotent, with nobody to read its answer. Change: the connection is checked again once a head is read, as it already was for requests that must not overlap. Tests: the suites of the entry and of hostile load pass.

--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -151,7 +151,7 @@
     def serve_next(self) -> bool:
         """Read and start the next request; return False to stop reading."""
         parsed = self.read_head()
-        if parsed is None:
+        if parsed is None or self.is_closing:
             return False
         if isinstance(parsed, RequestError):
             self.reject(parsed)
