Give credit back to the workspace that it was taken from

Callers: when a key moves to another workspace while its request waits, the credit was given back to, or counted again for, the other one. Change: a request keeps the workspace whose quota it counts against. Tests: those of quotas and access at the entry pass; this case has none yet.

--- a/packages/bilberry_router/src/bilberry_router/entry/active_request.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/active_request.py
@@ -31,8 +31,8 @@
     `held_error` counts its bytes meanwhile. `route` is the rule without what
     the workspace changes. It `hides_key` from upstreams if the configuration
     asks for keys, or did since it arrived. A `denial` is why it may not run
-    by the newest configuration. It counts against its workspace's quota at
-    `quota_counted_ms`.
+    by the newest configuration. It counts against the quota of
+    `quota_workspace`, that of its arrival, at `quota_counted_ms`.
     """
 
     request: EntryRequest
@@ -61,6 +61,7 @@
     hides_key: bool = False
     denial: Denial | None = None
     quota_counted_ms: int = -1
+    quota_workspace: str = ""
 
     def fingerprint(self) -> str:
         """Return the fingerprint that all repeats of this request share.
--- a/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/forwarder.py
@@ -129,6 +129,7 @@
             return self.count_answer(request, counted)
         active = self.start_request(request, entry, permit)
         active.quota_counted_ms = counted
+        active.quota_workspace = permit.workspace_name
         try:
             answer = self.forward(active)
         finally:
--- a/packages/bilberry_router/src/bilberry_router/entry/quota_admission.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/quota_admission.py
@@ -81,7 +81,7 @@
         """Count a request from its first attempt on, after a wait."""
         quotas = self.state.quotas
         if quotas is not None and active.quota_counted_ms != NOT_COUNTED:
-            quotas.move(active.workspace, active.quota_counted_ms, now_ms)
+            quotas.move(active.quota_workspace, active.quota_counted_ms, now_ms)
             active.quota_counted_ms = now_ms
 
     def record_end(self, active: ActiveRequest) -> None:
@@ -91,4 +91,4 @@
             return
         if active.attempts == 0 and not active.may_have_run:
             now_ms = self.state.clock.now_ms()
-            quotas.release(active.workspace, now_ms, active.quota_counted_ms)
+            quotas.release(active.quota_workspace, now_ms, active.quota_counted_ms)
