--- a/tests/soak/test_revocation.py
+++ b/tests/soak/test_revocation.py
@@ -5,6 +5,7 @@
 
 import gevent
 import pytest
+from gevent.pool import Group
 
 from bilberry_platform.const import HEADER_NAMES
 from bilberry_router.entry.permits import AccessFailure
@@ -21,7 +22,7 @@
 
 
 class Caller:
-    """Send requests with one key to one node until stopped."""
+    """Send requests with one key to one node until closed."""
 
     def __init__(self, node, key):
         self.node = node
@@ -29,13 +30,18 @@
         self.statuses = set()
         self.refusals = set()
         self.sent = {}
+        self.calls = Group()
         self.greenlet = gevent.spawn(self.run)
 
+    def close(self):
+        self.greenlet.kill()
+        self.calls.kill()
+
     def run(self):
         while True:
             request_id = f"{self.node.name}-{self.key}-{len(self.sent)}"
             self.sent[request_id] = len(self.sent)
-            gevent.spawn(self.ask, request_id)
+            self.calls.spawn(self.ask, request_id)
             gevent.sleep(CALL_INTERVAL_S)
 
     def ask(self, request_id):
@@ -54,6 +60,20 @@
             self.refusals.add(answer.body)
 
 
+@pytest.fixture
+def start_caller():
+    """Start callers, and end them with the test."""
+    callers = []
+
+    def start(node, key):
+        callers.append(Caller(node, key))
+        return callers[-1]
+
+    yield start
+    for caller in callers:
+        caller.close()
+
+
 @pytest.fixture
 def deployment(tmp_path):
     network = LoopbackNetwork()
@@ -84,11 +104,13 @@
     ]
 
 
-def test_a_node_cut_off_from_the_store_stops_to_serve_a_removed_key(deployment):
+def test_a_node_cut_off_from_the_store_stops_to_serve_a_removed_key(
+    deployment, start_caller
+):
     """Its peers know the newer configuration, and it doesn't."""
     cut_node, other = deployment.nodes[:2]
-    callers = [Caller(cut_node, REMOVED), Caller(other, REMOVED)]
-    kept = Caller(other, KEPT)
+    callers = [start_caller(cut_node, REMOVED), start_caller(other, REMOVED)]
+    kept = start_caller(other, KEPT)
     gevent.sleep(1)
     cut_node.store_link.set_mode(LinkMode.SILENT)
     removed_ms = remove_key(deployment)
@@ -99,9 +121,11 @@
     assert runs_of(deployment, [kept], removed_ms + REVOKE_MS)
 
 
-def test_a_node_that_the_store_turns_away_serves_on_the_proof_of_peers(deployment):
+def test_a_node_that_the_store_turns_away_serves_on_the_proof_of_peers(
+    deployment, start_caller
+):
     node = deployment.nodes[0]
-    caller = Caller(node, KEPT)
+    caller = start_caller(node, KEPT)
     gevent.sleep(1)
     node.store_link.set_mode(LinkMode.REFUSING)
     cut_ms = deployment.clock.now_ms()
@@ -110,10 +134,12 @@
     assert AccessFailure.OUTDATED_CONFIG.encode() not in caller.refusals
 
 
-def test_a_node_that_was_stopped_sends_nothing_with_a_removed_key(deployment):
+def test_a_node_that_was_stopped_sends_nothing_with_a_removed_key(
+    deployment, start_caller
+):
     """Requests were placed, or waited to be read, when it stopped."""
     node = deployment.nodes[0]
-    callers = [Caller(node, REMOVED) for _ in range(4)]
+    callers = [start_caller(node, REMOVED) for _ in range(4)]
     gevent.sleep(1)
     node.process.send(signal.SIGSTOP)
     removed_ms = remove_key(deployment)
