--- /dev/null
+++ b/review/standins_2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the store, endpoints, callers and the platform."""
