Log and count connections that close with answers unread

Cause: not shown yet. Either the node closes a connection whose answer it has written and whose caller has yet to take it, or it breaks off an answer that it is still writing. No line and no metric told them apart.

Change: a line and bilberry_unread_closes_total tell of each closed connection how many bytes were not acknowledged, and how many of these were in flight.

--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -29,6 +29,8 @@
 from ..http.head import RequestError, RequestHead
 from ..http.head_reader import read_head
 from ..http.receive import ReadTimeoutError
+from ..http.send_queue import read_send_queue
+from ..http.unread_closes import UnreadCloses
 from .answer_memory import AnswerMemory, HeldAnswer
 from .answers import refusal_answer
 from .caller_refusals import CallerLimit, limit_of_status
@@ -88,6 +90,7 @@
         "pending",
         "refused_body_bytes",
         "request_memory",
+        "unread_closes",
     )
 
     def __init__(
@@ -99,6 +102,7 @@
         answer_memory: AnswerMemory,
         request_memory: RequestMemory,
         on_refusal: Callable[[CallerLimit], None],
+        unread_closes: UnreadCloses,
     ) -> None:
         self.connection = Connection(sock, clock)
         self.handler = handler
@@ -107,6 +111,7 @@
         self.answer_memory = answer_memory
         self.request_memory = request_memory
         self.on_refusal = on_refusal
+        self.unread_closes = unread_closes
         self.refused_body_bytes = 0
         self.pending: deque[Exchange] = deque()
         self.answer_ready = Event()
@@ -136,6 +141,7 @@
         except (ConnectionLostError, OSError):
             self.notify_requests()
         finally:
+            self.unread_closes.record(read_send_queue(self.connection.sock))
             self.connection.sock.close()
 
     def drain(self) -> None:
--- a/packages/bilberry_router/src/bilberry_router/entry/listener.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/listener.py
@@ -14,6 +14,7 @@
 from bilberry_core.const import MS_PER_SECOND
 from bilberry_resources.routing import CallerLimits
 
+from ..http.unread_closes import UnreadCloses
 from .answer_memory import AnswerMemory
 from .caller import CallerConnection, Handler
 from .caller_refusals import CallerRefusals
@@ -41,6 +42,7 @@
         "refusals",
         "request_memory",
         "server",
+        "unread_closes",
     )
 
     def __init__(
@@ -59,6 +61,7 @@
         self.connection_limits = connection_limits or ConnectionLimits()
         self.is_auxiliary = is_auxiliary
         self.refusals = CallerRefusals(clock)
+        self.unread_closes = UnreadCloses(clock)
         self.handler = handler
         self.limits = limits
         self.clock = clock
@@ -116,6 +119,7 @@
             self.answer_memory,
             self.request_memory,
             lambda limit: self.refusals.record(limit, host),
+            self.unread_closes,
         )
         connection.is_draining = self.draining
         self.connections.add(connection)
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -300,6 +300,11 @@
         "Requests refused as there was no memory for their bodies.",
         request_memory.refused_count,
     )
+    metrics.set_counter(
+        "bilberry_unread_closes_total",
+        "Connections closed before the caller had taken its answers.",
+        inputs.entry_listener.unread_closes.count,
+    )
     metrics.set_counter(
         "bilberry_standstills_total",
         "Times that this node ran nothing for half a second or more.",
