Keep a connection open while its caller reads an answer

Cause: an answer counted as delivered once the system had taken it. From then on the connection was idle, and each way to end it closed the socket without a look at what its caller had still to take: at a SIGTERM at once, at the idle timeout, 0.5 s after the first byte behind a last answer, at the end of the process, and in http/ right after a last response. Bytes that arrive at a closed socket, or wait unread in it, make the system answer with a reset, which destroys what the caller hasn't read. An answer being written had 5 s in all, however fast it was read, and was cut when its caller had only shut down its sending side.

Change: http/delivery.py decides, without I/O, from what the system says is unacknowledged. A connection ends with a shutdown of writing, and waits for its caller's close while the caller takes bytes, or may still read what it took. Further requests are discarded, beyond 1 MB left unread, not reset. A waiting reader is interrupted in place of shutting down reading, after which the system answers any input with a reset. Requests that have arrived at a SIGTERM are served. Both servers use it. The line tells the cause and the time since the last acknowledged byte; bilberry_unread_closes_total has the cause as label.

--- a/packages/bilberry_router/src/bilberry_router/entry/answer_memory.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/answer_memory.py
@@ -19,6 +19,11 @@
     def __init__(self) -> None:
         self.held_bytes = 0
 
+    @property
+    def is_short(self) -> bool:
+        """Return whether large answers are refused for want of memory."""
+        return self.held_bytes > MAX_BUFFERED_BYTES
+
     def has_room(self, answer_bytes: int) -> bool:
         """Return whether an answer that has `answer_bytes` may be held.
 
@@ -28,7 +33,7 @@
         if answer_bytes > MAX_ANSWER_BYTES or self.held_bytes > MAX_HELD_BYTES:
             return False
         is_small = answer_bytes <= SMALL_ANSWER_BYTES
-        return is_small or self.held_bytes <= MAX_BUFFERED_BYTES
+        return is_small or not self.is_short
 
 
 class HeldAnswer:
--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -1,7 +1,6 @@
 """Serve one caller's connection; pipelined requests run concurrently."""
 
 import logging
-import socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,23 +12,24 @@
 
 from bilberry_balance.placement.admission import spread_retry_after_ms
 from bilberry_core.clock import Clock
-from bilberry_core.const import MS_PER_SECOND
 from bilberry_core.outcome import Failure
 from bilberry_resources.routing import CallerLimits
 
 from ..http.body import BodyError, BodyReader
-from ..http.connection import Connection, ConnectionLostError
+from ..http.connection import (
+    Connection,
+    ConnectionLostError,
+    IdleInterruptedError,
+)
 from ..http.const import (
     BODILESS_STATUSES,
     END_OF_HEAD,
-    HEAD_RECV_BYTES,
     MAX_JOINED_WRITE_BYTES,
     METHOD_HEAD,
 )
+from ..http.delivery import DeliveryBounds
 from ..http.head import RequestError, RequestHead
 from ..http.head_reader import read_head
-from ..http.receive import ReadTimeoutError
-from ..http.send_queue import read_send_queue
 from ..http.unread_closes import UnreadCloses
 from .answer_memory import AnswerMemory, HeldAnswer
 from .answers import refusal_answer
@@ -37,10 +37,10 @@
 from .const import (
     BODY_TIMEOUT_MS,
     CLOSE_LINGER_MS,
+    GONE_MS,
     MAX_PIPELINED,
     REFUSED_BODY_LINGER_MS,
     REFUSED_BODY_RETRY_MS,
-    WRITE_TIMEOUT_MS,
 )
 from .messages import EntryAnswer, EntryRequest, local_answer
 from .request_body import read_body, unread_bytes
@@ -104,7 +104,7 @@
         on_refusal: Callable[[CallerLimit], None],
         unread_closes: UnreadCloses,
     ) -> None:
-        self.connection = Connection(sock, clock)
+        self.connection = Connection(sock, clock, self.delivery_bounds)
         self.handler = handler
         self.limits = limits
         self.clock = clock
@@ -126,6 +126,11 @@
         """Return whether a request is being read or answered."""
         return self.is_reading or bool(self.pending)
 
+    @property
+    def is_ending(self) -> bool:
+        """Return whether no request may follow but the caller may read on."""
+        return self.is_closing or (self.is_draining and self.has_served)
+
     @property
     def has_unread_data(self) -> bool:
         """Return whether a caller has sent something that isn't read yet."""
@@ -140,9 +145,14 @@
             self.close_gracefully()
         except (ConnectionLostError, OSError):
             self.notify_requests()
+            self.wait_for_write()
         finally:
-            self.unread_closes.record(read_send_queue(self.connection.sock))
-            self.connection.sock.close()
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection; record what its caller had yet to take."""
+        self.connection.close()
+        self.unread_closes.record(self.connection.delivery, self.delivery_bounds())
 
     def drain(self) -> None:
         """Close the connection when no request is being read or answered.
@@ -151,8 +161,14 @@
         request may be on its way.
         """
         self.is_draining = True
-        if self.has_served and not self.is_busy and not self.connection.buffer:
-            self.connection.close_if_no_data()
+        if self.has_served and not self.is_busy:
+            self.connection.interrupt_idle()
+
+    def delivery_bounds(self) -> DeliveryBounds:
+        """Return how long the caller may take to read its answers."""
+        return DeliveryBounds(
+            GONE_MS, self.limits().idle_timeout_ms, self.answer_memory.is_short
+        )
 
     def serve_next(self) -> bool:
         """Read and start the next request; return False to stop reading."""
@@ -198,15 +214,17 @@
     def wait_for_data(self) -> bool:
         """Wait for data; return False if the connection is to be closed."""
         self.is_reading = False
-        if self.is_draining and self.has_served and not self.pending:
+        if self.is_closing:
             return False
+        if self.is_draining and self.has_served and not self.pending:
+            return self.connection.fill_from_arrived()
         try:
-            self.connection.fill(self.limits().idle_timeout_ms, HEAD_RECV_BYTES)
-        except ReadTimeoutError:
-            return bool(self.pending)
-        if self.is_closing:
-            self.connection.buffer.clear()
-        return not self.is_closing
+            has_data = self.connection.wait_idle(
+                self.limits().idle_timeout_ms, lambda: bool(self.pending)
+            )
+        except IdleInterruptedError:
+            return not self.is_closing and self.connection.fill_from_arrived()
+        return has_data and not self.is_closing
 
     def read_request(self, head: RequestHead, held: HeldBody) -> EntryRequest | None:
         """Return the request with its whole body, or None if refused."""
@@ -269,7 +287,7 @@
             self.is_closing = True
             self.notify_requests()
             self.connection.abort()
-            self.connection.sock.close()
+            self.close()
 
     def write(self, exchange: Exchange) -> None:
         """Write one answer, with `Connection: close` on the last."""
@@ -294,13 +312,11 @@
 
     def send(self, head: bytes, body: bytes) -> None:
         """Send an answer; a long body isn't copied to join it to the head."""
-        sock = self.connection.sock
-        sock.settimeout(WRITE_TIMEOUT_MS / MS_PER_SECOND)
         if len(body) > MAX_JOINED_WRITE_BYTES:
-            sock.sendall(head)
-            sock.sendall(body)
+            self.connection.send_all(head)
+            self.connection.send_all(body)
         else:
-            sock.sendall(head + body)
+            self.connection.send_all(head + body)
 
     def shut_down_writing(self) -> None:
         """Shut down the sending side; the caller then closes its own."""
@@ -308,9 +324,19 @@
         for exchange in list(self.pending)[1:]:
             exchange.request.mark_caller_gone()
         try:
-            self.connection.sock.shutdown(socket.SHUT_WR)
+            self.connection.shut_down_writing()
         except OSError:
             return
+        self.connection.interrupt_idle()
+
+    def wait_for_write(self) -> None:
+        """Wait until no answer is being written.
+
+        A caller that has shut down its sending side may still read one.
+        """
+        while self.is_writing:
+            self.answer_ready.clear()
+            self.answer_ready.wait()
 
     def wait_for_answers(self, max_pending: int) -> None:
         """Wait until at most `max_pending` requests are unanswered."""
@@ -356,9 +382,7 @@
 
     def close_gracefully(self) -> None:
         """Close gracefully, so that a reset can't cut the last answer."""
-        if self.connection.is_aborted:
-            return
-        self.connection.buffer.clear()
+        self.is_closing = True
         if self.refused_body_bytes > 0:
             self.connection.linger(REFUSED_BODY_LINGER_MS, self.refused_body_bytes)
         else:
--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -11,7 +11,8 @@
 AUXILIARY_DESCRIPTORS_FRACTION = 0.1
 # Of the callers' connections, for one address; many callers may share one.
 ADDRESS_CONNECTIONS_FRACTION = 0.5
-WRITE_TIMEOUT_MS = 5_000
+# Time for which a caller's system may acknowledge nothing of an answer.
+GONE_MS = 5_000
 BODY_TIMEOUT_MS = 10_000
 CLOSE_LINGER_MS = 500
 
--- a/packages/bilberry_router/src/bilberry_router/entry/listener.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/listener.py
@@ -87,6 +87,11 @@
             for connection in self.connections
         )
 
+    @property
+    def is_being_read(self) -> bool:
+        """Return whether callers may still be reading their last answers."""
+        return any(connection.is_ending for connection in self.connections)
+
     def start(self) -> None:
         """Start listening."""
         self.server.start()
@@ -138,15 +143,17 @@
         """Answer what has arrived and accept no more; False on timeout.
 
         Connections that callers have opened by now are still accepted, as
-        their requests may already be here.
+        their requests may already be here. Callers that still read their last
+        answers are waited for.
         """
         end_ms = self.clock.now_ms() + timeout_ms
         all_answered = self.wait_until_idle(timeout_ms)
         while self.accept_waiting():
             gevent.sleep(0)
         self.server.close()
-        left_ms = max(0, end_ms - self.clock.now_ms())
-        return self.wait_until_idle(left_ms) and all_answered
+        is_idle = self.wait_until_idle(max(0, end_ms - self.clock.now_ms()))
+        is_read = self.wait_until_read(max(0, end_ms - self.clock.now_ms()))
+        return all_answered and is_idle and is_read
 
     def accept_waiting(self) -> bool:
         """Accept one connection that is waiting; return whether there was."""
@@ -162,8 +169,16 @@
 
     def wait_until_idle(self, timeout_ms: int) -> bool:
         """Wait until no request is left; return False on timeout."""
+        return self.wait_while(lambda: self.is_busy, timeout_ms)
+
+    def wait_until_read(self, timeout_ms: int) -> bool:
+        """Wait until no last answer is being read; False on timeout."""
+        return self.wait_while(lambda: self.is_being_read, timeout_ms)
+
+    def wait_while(self, condition: Callable[[], bool], timeout_ms: int) -> bool:
+        """Wait until a condition ends; return False on timeout."""
         end_ms = self.clock.now_ms() + timeout_ms
-        while self.is_busy:
+        while condition():
             if self.clock.now_ms() >= end_ms:
                 return False
             gevent.sleep(DRAIN_POLL_MS / MS_PER_SECOND)
--- a/packages/bilberry_router/src/bilberry_router/entry/metrics.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/metrics.py
@@ -300,11 +300,6 @@
         "Requests refused as there was no memory for their bodies.",
         request_memory.refused_count,
     )
-    metrics.set_counter(
-        "bilberry_unread_closes_total",
-        "Connections closed before the caller had taken its answers.",
-        inputs.entry_listener.unread_closes.count,
-    )
     metrics.set_counter(
         "bilberry_standstills_total",
         "Times that this node ran nothing for half a second or more.",
@@ -327,3 +322,15 @@
             number,
             limit=limit,
         )
+
+
+@METRIC_SOURCES.register("unread_closes")
+def add_unread_closes(inputs: MetricInputs, metrics: MetricSet) -> None:
+    """Add the connections that closed before their answers were taken."""
+    for cause, number in inputs.entry_listener.unread_closes.counts.items():
+        metrics.set_counter(
+            "bilberry_unread_closes_total",
+            "Connections closed before the caller had taken its answers.",
+            number,
+            cause=cause,
+        )
--- a/packages/bilberry_router/src/bilberry_router/http/const.py
+++ b/packages/bilberry_router/src/bilberry_router/http/const.py
@@ -26,8 +26,13 @@
 MAX_SKIPPED_RESPONSES = 8
 MAX_SKIPPED_BODY_BYTES = 4_000_000
 
+# For a caller that has taken its answers to close its side.
 DEFAULT_LINGER_MS = 500
 MAX_LINGER_BYTES = 1_000_000
+DEFAULT_GONE_MS = 5_000
+DELIVERY_POLL_MS = 250
+# Pace at which a caller is taken to read what its system has received.
+SLOW_READER_BYTES_PER_S = 50_000
 DRAIN_POLL_MS = 10
 
 HEADER_AUTHORIZATION = "authorization"
--- a/packages/bilberry_router/src/bilberry_router/http/handler.py
+++ b/packages/bilberry_router/src/bilberry_router/http/handler.py
@@ -11,13 +11,11 @@
 from bilberry_core.outcome import Failure, Result
 
 from .body import BodyError, BodyReader
-from .connection import Connection, ConnectionLostError
+from .connection import Connection, ConnectionLostError, IdleInterruptedError
 from .const import (
     BODILESS_STATUSES,
-    DEFAULT_LINGER_MS,
     ENV_CONNECTION,
     ENV_HEAD,
-    HEAD_RECV_BYTES,
     HEADER_CONNECTION,
     HEADER_CONTENT_LENGTH,
     LAST_CHUNK,
@@ -27,7 +25,6 @@
 from .head import RequestError, RequestHead
 from .head_reader import read_head
 from .messages import STATUS_LINES, Headers, Response, problem_response
-from .receive import ReadTimeoutError
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -49,7 +46,7 @@
         self.socket = sock
         self.client_address = address
         self.server = server
-        self.connection = Connection(sock, server.clock)
+        self.connection = Connection(sock, server.clock, server.delivery_bounds)
         self.head: RequestHead | None = None
         self.headers_sent = False
         self.chunked = False
@@ -63,10 +60,10 @@
         try:
             while self.handle_one_request():
                 pass
+            self.connection.linger()
         finally:
-            self.connection.unwatch()
-            self.server.connections.discard(self.connection)
-            self.socket.close()
+            self.connection.close()
+            self.server.record_close(self.connection)
 
     def handle_one_request(self) -> bool:
         """Serve one request; return whether another may follow."""
@@ -86,7 +83,7 @@
             self.server.in_flight -= 1
 
     def read_head(self) -> Result[RequestHead, RequestError] | None:
-        """Return the next request head, None after the idle timeout."""
+        """Return the next request head, None if there is to be none."""
         limits = self.server.limits
         if not self.connection.buffer and not self.wait_idle(limits.idle_timeout_ms):
             return None
@@ -95,15 +92,11 @@
         )
 
     def wait_idle(self, timeout_ms: int) -> bool:
-        """Wait for the first byte; return whether one arrived in time."""
-        self.connection.is_idle = True
+        """Wait for a request; return False at the timeout or a shutdown."""
         try:
-            self.connection.fill(timeout_ms, HEAD_RECV_BYTES)
-        except ReadTimeoutError:
-            return False
-        finally:
-            self.connection.is_idle = False
-        return True
+            return self.connection.wait_idle(timeout_ms)
+        except IdleInterruptedError:
+            return self.connection.fill_from_arrived()
 
     def serve(self, head: RequestHead) -> bool:
         """Answer one request; return whether another may follow."""
@@ -128,10 +121,7 @@
         self.application = self.server.application
         self.result = None
         self.handle_one_response()
-        if self.connection.is_aborted:
-            return False
-        if not self.wsgi_input.is_complete:
-            self.connection.linger(DEFAULT_LINGER_MS)
+        if self.connection.is_aborted or not self.wsgi_input.is_complete:
             return False
         return not self.close_connection
 
@@ -162,7 +152,6 @@
         self.head = None
         response = problem_response(error.status, error.reason)
         self.send(response)
-        self.connection.linger(DEFAULT_LINGER_MS)
 
     def send(self, response: Response) -> None:
         """Write a complete response; ignore that the caller has gone."""
@@ -218,7 +207,7 @@
         if not self.headers_sent:
             self.write(b"")
         if self.chunked:
-            self.socket.sendall(LAST_CHUNK)
+            self.connection.send_all(LAST_CHUNK)
         if self.remaining_length:
             raise ResponseAbortedError
 
@@ -236,11 +225,10 @@
             data = b"%x\r\n%b\r\n" % (len(data), data)
         elif self.has_no_body():
             data = b""
-        self.socket.settimeout(self.server.write_timeout_s)
         if head and len(data) > MAX_JOINED_WRITE_BYTES:
-            self.socket.sendall(head)
+            self.connection.send_all(head)
             head = b""
-        self.socket.sendall(head + data if head else data)
+        self.connection.send_all(head + data if head else data)
 
     def has_no_body(self) -> bool:
         """Return whether the method or status rules out a body."""
--- a/packages/bilberry_router/src/bilberry_router/http/server.py
+++ b/packages/bilberry_router/src/bilberry_router/http/server.py
@@ -14,8 +14,10 @@
 
 from .connection import Connection
 from .const import DRAIN_POLL_MS
+from .delivery import DeliveryBounds
 from .handler import Handler
 from .limits import Limits
+from .unread_closes import UnreadCloses
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -51,7 +53,7 @@
         self.in_flight = 0
         self.is_draining = False
         self.is_shutdown_forced = False
-        self.write_timeout_s = self.limits.body_timeout_ms / MS_PER_SECOND
+        self.unread_closes = UnreadCloses(self.clock)
 
     def handle(self, sock: socket.socket, address: Any) -> None:
         """Serve one accepted connection, with Nagle's algorithm disabled."""
@@ -66,6 +68,15 @@
             return f"[{host}]:{self.server_port}"
         return f"{host}:{self.server_port}"
 
+    def delivery_bounds(self) -> DeliveryBounds:
+        """Return how long callers may take to read their answers."""
+        return DeliveryBounds(self.limits.body_timeout_ms, self.limits.idle_timeout_ms)
+
+    def record_close(self, connection: Connection) -> None:
+        """Record what the caller of a closed connection had yet to take."""
+        self.connections.discard(connection)
+        self.unread_closes.record(connection.delivery, self.delivery_bounds())
+
     def start_draining(self) -> None:
         """Make each further response close its connection."""
         self.is_draining = True
@@ -100,8 +111,7 @@
 
     def _close_idle(self) -> None:
         for connection in list(self.connections):
-            if connection.is_idle:
-                connection.close_if_no_data()
+            connection.interrupt_idle()
 
     def _accept_queued_connections(self) -> None:
         """Serve connections that the kernel has already accepted."""
--- a/packages/bilberry_router/src/bilberry_router/http/unread_closes.py
+++ b/packages/bilberry_router/src/bilberry_router/http/unread_closes.py
@@ -1,42 +1,51 @@
 """Count and log connections that close before their answers are taken."""
 
 import logging
+from collections import Counter
 
 from bilberry_core.clock import Clock
 
-from .send_queue import SendQueue
+from .delivery import Delivery, DeliveryBounds
 
 _LOGGER = logging.getLogger(__name__)
 
 LOG_INTERVAL_MS = 1_000
-# The end of the answers counts as one.
-END_BYTES = 1
+CAUSE_CLOSED = "closed"
 
 
 class UnreadCloses:
-    """Count the closed connections whose callers had not taken all."""
+    """Count closed connections whose callers had not taken all, by cause.
 
-    __slots__ = ("clock", "count", "logged_at_ms")
+    The cause is why the rest was given up, or that the caller or this process
+    closed.
+    """
+
+    __slots__ = ("clock", "counts", "logged_at_ms")
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self.count = 0
+        self.counts: Counter[str] = Counter()
         self.logged_at_ms: int | None = None
 
-    def record(self, queue: SendQueue) -> None:
+    def record(self, delivery: Delivery, bounds: DeliveryBounds) -> None:
         """Count a connection that closed early; log once in an interval."""
-        if queue.unacknowledged_bytes <= END_BYTES:
+        queue = delivery.queue
+        if not queue.unacknowledged_bytes:
             return
-        self.count += 1
         now_ms = self.clock.now_ms()
+        cause = delivery.end(bounds, now_ms) or CAUSE_CLOSED
+        self.counts[cause] += 1
         last_ms = self.logged_at_ms
         if last_ms is not None and now_ms - last_ms < LOG_INTERVAL_MS:
             return
         self.logged_at_ms = now_ms
         _LOGGER.warning(
-            "http: Closed a connection of whose answers %s bytes were not"
-            " acknowledged, %s of them in flight; closed like this so far: %s.",
+            "http: Closed a connection, cause %s, of whose answers %s bytes were not"
+            " acknowledged, %s of them in flight, %s ms after the last that were;"
+            " closed like this so far: %s.",
+            cause,
             queue.unacknowledged_bytes,
             queue.in_flight_bytes,
-            self.count,
+            now_ms - delivery.progress_ms,
+            dict(self.counts),
         )
--- a/tests/bilberry_router/http/test_work_budget.py
+++ b/tests/bilberry_router/http/test_work_budget.py
@@ -33,6 +33,9 @@
     def shutdown(self, how):
         pass
 
+    def fileno(self):
+        return -1
+
     def recv(self, size):
         start = self.received_bytes % len(self.pattern)
         self.received_bytes += size
