Don't run a request whose connection has ended meanwhile

What callers saw: a request whose body arrived behind an answer with `Connection: close` ran, and was never answered.

Cause: whether the connection closes was looked at once the head was read, and not once the body was.

Change: it is looked at after the body, too; the request isn't run, as its caller sends it again.

Before and after: the new test ran the second request on the code before (['r1', 'r2']), and runs the first alone now.

--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -191,6 +191,9 @@
                 held_body.release()
         if request is None:
             return False
+        if self.is_closing:
+            held_body.release()
+            return False
         exchange = Exchange(request, HeldAnswer(self.answer_memory), held_body)
         self.pending.append(exchange)
         self.is_reading = False
--- a/tests/bilberry_router/entry/test_unread_answers.py
+++ b/tests/bilberry_router/entry/test_unread_answers.py
@@ -213,3 +213,23 @@
         eventually(lambda: reader.connection.is_writing)
         reader.client.sock.shutdown(socket.SHUT_WR)
         reader.assert_whole(reader.read(0))
+
+
+def test_a_request_whose_body_arrives_behind_a_closing_answer_does_not_run():
+    """Guard against a request that runs and can't be answered any more."""
+    with Rig(count=1) as rig:
+        client = rig.client()
+        client.send("/read/x", request_id="r1", headers=("X-Close: 1",))
+        eventually(lambda: rig.ran)
+        assert client.answer().status == 200
+        connection = next(iter(rig.listener.connections))
+        client.sock.sendall(
+            b"POST /book/x HTTP/1.1\r\nHost: shop.example\r\n"
+            b"X-Id: r2\r\nContent-Length: 10\r\n\r\nhalf "
+        )
+        eventually(lambda: connection.is_reading)
+        connection.shut_down_writing()
+        client.sock.sendall(b"a body"[:5])
+        assert client.answer() is None
+        eventually(lambda: not rig.listener.connections)
+        assert [served.request_id for served in rig.ran] == ["r1"]
