Finish the answers of all listeners at a stop

What callers saw: answers of the directory, the readiness page, the metrics and, in the own deployment, calls of operators and other nodes were cut by a planned stop.

Cause: only the listener of callers was drained; the others were closed with what was running on them and what was still being read.

Change: they drain with it. On an entry node they answer for as long as the entry does, and keep 0.4 s of the grace period for their own callers. The servers for operators and nodes get a second at most, so that watches don't hold up a stop.

Before and after: the three cases of test_auxiliary_stop.py and both of test_node_shutdown.py fail on the code before, and pass now.

--- a/packages/bilberry_router/src/bilberry_router/const.py
+++ b/packages/bilberry_router/src/bilberry_router/const.py
@@ -25,6 +25,8 @@
 DEFAULT_KEY_RETENTION_MS = 600_000
 
 SHUTDOWN_POLL_MS = 20
+# Of the servers for other nodes and operators.
+MAX_AUXILIARY_DRAIN_MS = 1_000
 
 PATH_LOOKUP = "/v1/lookup"
 PREFIX_FORWARD = "/s/"
--- a/packages/bilberry_router/src/bilberry_router/entry/const.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/const.py
@@ -78,5 +78,7 @@
 DRAIN_SERVE_FRACTION = 0.45
 DRAIN_MARGIN_MS = 300
 DRAIN_POLL_MS = 50
+# Before a stop, for callers of the auxiliary listeners.
+AUXILIARY_FINISH_MS = 400
 # Before a stop, in which callers get to know that a request still waits.
 LAST_REFUSALS_MS = 400
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -23,6 +23,7 @@
 from .caller import Handler
 from .connections import ConnectionPool
 from .const import (
+    AUXILIARY_FINISH_MS,
     DRAIN_MARGIN_MS,
     DRAIN_SERVE_FRACTION,
     DRAIN_SERVE_MS,
@@ -176,7 +177,8 @@
         self.draining = True
         self.forwarder.stop_at_ms = end_ms
         self.membership.leave()
-        self.entry_listener.start_draining()
+        for listener in self.listeners:
+            listener.start_draining()
         serve_ms = min(DRAIN_SERVE_MS, grace_ms * DRAIN_SERVE_FRACTION)
         gevent.sleep(serve_ms / MS_PER_SECOND)
         self.forwarder.is_refusing = True
@@ -185,12 +187,33 @@
         refusals = gevent.spawn_later(
             left_ms / MS_PER_SECOND, self.placer.refuse_queued
         )
-        all_answered = self.entry_listener.finish(max(0, end_ms - self.clock.now_ms()))
+        all_answered = self.finish_listeners(end_ms)
         refusals.kill()
         self.close()
-        _LOGGER.info("node: Stopped, all requests answered: %s.", all_answered)
+        _LOGGER.info(
+            "node: Stopped, all requests answered and answers read: %s.", all_answered
+        )
         return all_answered
 
+    def finish_listeners(self, end_ms: int) -> bool:
+        """Finish the entry, then the others; return whether all is answered.
+
+        The others answer for as long as the entry does, but keep some time
+        for their own callers.
+        """
+        entry = self.entry_listener
+        entry_task = gevent.spawn(entry.finish, max(0, end_ms - self.clock.now_ms()))
+        entry_ms = max(0, end_ms - AUXILIARY_FINISH_MS - self.clock.now_ms())
+        entry_task.join(entry_ms / MS_PER_SECOND)
+        left_ms = max(0, end_ms - self.clock.now_ms())
+        tasks = [entry_task] + [
+            gevent.spawn(listener.finish, left_ms)
+            for listener in self.listeners
+            if listener is not entry
+        ]
+        gevent.joinall(tasks)
+        return all(task.value for task in tasks)
+
     def close(self) -> None:
         """Stop all components."""
         for listener in self.listeners:
--- a/packages/bilberry_router/src/bilberry_router/node.py
+++ b/packages/bilberry_router/src/bilberry_router/node.py
@@ -17,7 +17,7 @@
 from .admin.resources import ResourceService
 from .admission import AdmissionTask
 from .components import make_api_store, make_fleet_settings, make_member, make_store
-from .const import SHUTDOWN_POLL_MS
+from .const import MAX_AUXILIARY_DRAIN_MS, SHUTDOWN_POLL_MS
 from .fleet_events import FleetEventTask
 from .forward.forwarder import Forwarder
 from .http.limits import limits_from
@@ -162,13 +162,18 @@
         self.fleet.close()
         self.events.close()
         self.audit.close()
-        self.peer_server.stop(timeout=0)
-        self.admin_server.stop(timeout=0)
+        self.drain_auxiliary_servers()
         self.api_store.close()
         self.store.close()
         _LOGGER.info("node: Stopped, %s requests aborted.", aborted_requests)
         return aborted_requests == 0
 
+    def drain_auxiliary_servers(self) -> None:
+        """Finish the calls of other nodes and operators, or cut the long."""
+        limit_ms = min(self.drain_limit_ms(), MAX_AUXILIARY_DRAIN_MS)
+        servers = (self.peer_server, self.admin_server)
+        gevent.joinall([gevent.spawn(server.drain, limit_ms) for server in servers])
+
     def drain_limit_ms(self) -> int:
         """Return how many ms the last requests may still take."""
         return 0 if self.is_shutdown_forced else self.settings.shutdown.limit_ms
