Cut a response without a reset where its framing shows that

What callers saw: with requests sent ahead, a response that was broken off took an earlier one with it that its caller was still reading.

Cause: a response that can't be completed was ended by a reset, which drops all that the system still holds for the caller.

Change: chunked responses, and those with a length, end with a shutdown, as the missing part shows; only those that end with their connection are reset.

Before and after: the new test lost the first response on the code before, and gets it whole and the half of the second now.

--- a/packages/bilberry_router/src/bilberry_router/http/handler.py
+++ b/packages/bilberry_router/src/bilberry_router/http/handler.py
@@ -32,14 +32,14 @@
 
 
 class ResponseAbortedError(Exception):
-    """Raised to make the handler reset the connection to the caller."""
+    """Raised to make the handler cut the response and close."""
 
 
 class Handler(pywsgi.WSGIHandler):
     """Parse requests strictly and write their responses.
 
-    A response that cannot be completed is ended by a connection reset, so
-    that the caller never takes it for a complete one.
+    A response that cannot be completed is cut, so that the caller never takes
+    it for a complete one.
     """
 
     def __init__(self, sock: Any, address: Any, server: Any) -> None:
@@ -130,22 +130,35 @@
         try:
             self.run_application()
         except BodyError as error:
-            self.abort_with_error(RequestError(error.status, error.reason))
-        except (ResponseAbortedError, ConnectionLostError, OSError):
+            self.end_with_error(RequestError(error.status, error.reason))
+        except ResponseAbortedError:
+            self.cut_response()
+        except (ConnectionLostError, OSError):
             self.connection.abort()
         except Exception:
             _LOGGER.exception("http: Request failed.")
-            self.abort_with_error(
+            self.end_with_error(
                 RequestError(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error")
             )
 
-    def abort_with_error(self, error: RequestError) -> None:
-        """Send an error response, or reset if a response has begun."""
+    def end_with_error(self, error: RequestError) -> None:
+        """Send an error response, or cut the one that has begun."""
         if self.headers_sent:
-            self.connection.abort()
+            self.cut_response()
         else:
             self.send_error(error)
 
+    def cut_response(self) -> None:
+        """End an incomplete response so that it can't look complete.
+
+        Only where its framing doesn't show that is the connection reset, as
+        earlier responses may still be unread.
+        """
+        self.close_connection = True
+        shows_end = self.chunked or self.remaining_length
+        if self.headers_sent and not shows_end:
+            self.connection.abort()
+
     def send_error(self, error: RequestError) -> None:
         """Send an error response and close the connection."""
         self.close_connection = True
--- a/tests/bilberry_router/http/test_unread_responses.py
+++ b/tests/bilberry_router/http/test_unread_responses.py
@@ -32,6 +32,17 @@
         return [BODY]
 
 
+class LargeThenCut(Large):
+    """Answer once; break off the second response."""
+
+    def __call__(self, environ, start_response):
+        if not self.ran:
+            return super().__call__(environ, start_response)
+        self.ran += 1
+        start_response("200 OK", [("Content-Length", "100")])
+        return [b"half"]
+
+
 class Reader:
     """Receive slowly on a small buffer."""
 
@@ -110,6 +121,17 @@
         assert application.ran == 1
 
 
+def test_a_response_that_is_cut_does_not_take_another_with_it():
+    """Guard against a reset that destroys earlier responses."""
+    application = LargeThenCut()
+    with listening(application, LIMITS) as server:
+        reader = Reader(server, GET)
+        reader.send_on([GET])
+        assert reader.read(0.01) > len(BODY)
+        assert application.ran == 2
+        assert reader.last.endswith(b"\r\n\r\nhalf")
+
+
 def test_the_end_of_the_server_does_not_cut_a_response_that_is_read():
     """Guard against a reset for requests that are left unread."""
     with listening(Large(), LIMITS) as server:
