Move a caller's exchange and its encoding out of the connection

Change: entry/caller_exchange.py has the request with its answer, the handler's interface and the bytes of an answer. The line of unread closes is of level info, as callers that leave cause it too.

--- a/packages/bilberry_router/src/bilberry_router/entry/caller.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/caller.py
@@ -3,9 +3,8 @@
 import logging
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any, Protocol
+from typing import Any
 
 import gevent
 from gevent.event import Event
@@ -21,18 +20,14 @@
     ConnectionLostError,
     IdleInterruptedError,
 )
-from ..http.const import (
-    BODILESS_STATUSES,
-    END_OF_HEAD,
-    MAX_JOINED_WRITE_BYTES,
-    METHOD_HEAD,
-)
+from ..http.const import MAX_JOINED_WRITE_BYTES
 from ..http.delivery import DeliveryBounds
 from ..http.head import RequestError, RequestHead
 from ..http.head_reader import read_head
 from ..http.unread_closes import UnreadCloses
 from .answer_memory import AnswerMemory, HeldAnswer
 from .answers import refusal_answer
+from .caller_exchange import Exchange, Handler, encode_answer
 from .caller_refusals import CallerLimit, limit_of_status
 from .const import (
     BODY_TIMEOUT_MS,
@@ -49,28 +44,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-class Handler(Protocol):
-    """Define the interface of a request handler."""
-
-    def handle(self, request: EntryRequest) -> EntryAnswer:
-        """Return the answer; called in a separate greenlet."""
-        ...
-
-    def may_overlap(self, head: RequestHead) -> bool:
-        """Return whether it may run before earlier requests have ended."""
-        ...
-
-
-@dataclass(slots=True)
-class Exchange:
-    """Represent a request and its answer, which is None until ready."""
-
-    request: EntryRequest
-    held: HeldAnswer
-    held_body: HeldBody
-    answer: EntryAnswer | None = None
-
-
 class CallerConnection:
     """Serve one accepted connection; answers are written in order."""
 
@@ -298,18 +271,7 @@
         assert answer is not None
         is_last = len(self.pending) == 1 and not self.is_reading
         close = answer.close or not head.keep_alive or (self.is_draining and is_last)
-        lines = [f"HTTP/1.1 {answer.status_line}"]
-        lines += [f"{name}: {value}" for name, value in answer.headers]
-        body = answer.body
-        if answer.status not in BODILESS_STATUSES and head.method != METHOD_HEAD:
-            lines.append(f"Content-Length: {len(body)}")
-        else:
-            body = b""
-        if close:
-            lines.append("Connection: close")
-        elif head.minor_version == 0:
-            lines.append("Connection: keep-alive")
-        self.send("\r\n".join(lines).encode("latin-1") + END_OF_HEAD, body)
+        self.send(*encode_answer(answer, head, close))
         if close:
             self.shut_down_writing()
 
--- a/packages/bilberry_router/src/bilberry_router/entry/listener.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/listener.py
@@ -16,7 +16,8 @@
 
 from ..http.unread_closes import UnreadCloses
 from .answer_memory import AnswerMemory
-from .caller import CallerConnection, Handler
+from .caller import CallerConnection
+from .caller_exchange import Handler
 from .caller_refusals import CallerRefusals
 from .connection_limits import ConnectionLimits
 from .const import DRAIN_POLL_MS, MAX_CONNECTIONS
--- a/packages/bilberry_router/src/bilberry_router/entry/node.py
+++ b/packages/bilberry_router/src/bilberry_router/entry/node.py
@@ -20,7 +20,7 @@
 from bilberry_fleet.discovery.upstreams import UpstreamListener
 from bilberry_resources.routing import CallerLimits, RoutingConfig
 
-from .caller import Handler
+from .caller_exchange import Handler
 from .connections import ConnectionPool
 from .const import (
     AUXILIARY_FINISH_MS,
--- a/packages/bilberry_router/src/bilberry_router/http/connection.py
+++ b/packages/bilberry_router/src/bilberry_router/http/connection.py
@@ -102,7 +102,7 @@
         return data
 
     def watch(self, on_disconnect: Callable[[], None]) -> None:
-        """Call `on_hang_up` from the hub once the caller disconnects."""
+        """Call `on_disconnect` from the hub once the caller disconnects."""
         self.unwatch()
         watcher = get_hub().loop.io(self.sock.fileno(), _READ_EVENT)
         self.watcher = watcher
--- a/packages/bilberry_router/src/bilberry_router/http/unread_closes.py
+++ b/packages/bilberry_router/src/bilberry_router/http/unread_closes.py
@@ -39,7 +39,7 @@
         if last_ms is not None and now_ms - last_ms < LOG_INTERVAL_MS:
             return
         self.logged_at_ms = now_ms
-        _LOGGER.warning(
+        _LOGGER.info(
             "http: Closed a connection, cause %s, of whose answers %s bytes were not"
             " acknowledged, %s of them in flight, %s ms after the last that were;"
             " closed like this so far: %s.",
