Share a slow reader and repeated parts among the tests

Cause: two new tests had the same slow caller; older ones stood twice: the upstream that names one request, the plan for two VMs, the disconnect.

Change: one of each. The disconnect is played for both routes by one test. No check is weaker.

--- a/tests/bilberry_router/entry/test_forwarder.py
+++ b/tests/bilberry_router/entry/test_forwarder.py
@@ -6,7 +6,7 @@
 from bilberry_balance.placement.processing_times import Warmth
 from bilberry_router.http.upstream_socket import IdleState
 
-from .common import NAMES, Rig, config, eventually, route
+from .common import NAMES, ROUTES, Rig, config, eventually, route
 
 HEAD = (
     f"HTTP/1.1 200 OK\r\n{NAMES.request_id}: r1\r\n{NAMES.digest}: d\r\n"
@@ -148,22 +148,14 @@
         assert rig.ask("/short/x").status == 504
 
 
-def test_a_disconnect_cancels_the_callers_request():
+@pytest.mark.parametrize("target", ["/read/x", "/long/x"])
+def test_a_disconnect_cancels_a_request_long_before_its_timeout(target):
     with Rig(count=1) as rig:
+        long = route("long", "/long/", timeout_ms=60_000)
+        rig.state.install(config(2, (*ROUTES, long)))
         rig.hold()
         client = rig.client()
-        client.send("/read/x")
-        eventually(lambda: rig.ran)
-        client.reset()
-        eventually(lambda: not rig.state.upstreams.by_name["u0"].in_flight)
-
-
-def test_a_disconnect_cancels_a_request_long_before_its_timeout():
-    with Rig(count=1) as rig:
-        rig.state.install(config(2, (route("long", "/long/", timeout_ms=60_000),)))
-        rig.hold()
-        client = rig.client()
-        client.send("/long/x")
+        client.send(target)
         eventually(lambda: rig.ran)
         client.reset()
         eventually(lambda: not rig.state.upstreams.by_name["u0"].in_flight)
--- a/tests/bilberry_router/entry/test_unread_answers.py
+++ b/tests/bilberry_router/entry/test_unread_answers.py
@@ -10,40 +10,39 @@
 from bilberry_router.entry import caller as caller_module
 from bilberry_router.entry.const import MAX_BUFFERED_BYTES, MAX_PIPELINED
 
+from ..slow_reader import SlowReader
 from .common import NAMES, Rig, config, eventually
 
 BODY = b"f" * 540_000
 # More than the system's buffers of both sides take.
 LONG_BODY = b"f" * 12_000_000
-RECEIVE_BYTES = 16_384
 CLOSE = ("Connection: close",)
 
 
-def answer_with(body, request_id, headers=()):
+def answer_with(body, request_id):
     lines = [
         "HTTP/1.1 200 OK",
         f"{NAMES.request_id}: {request_id}",
         f"{NAMES.digest}: d",
         f"Content-Length: {len(body)}",
-        *headers,
     ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-class Reader:
-    """Receive a large answer slowly on a small buffer."""
+class Reader(SlowReader):
+    """Ask for large answers."""
 
-    def __init__(self, rig, body=BODY, headers=(), count=1, answer_headers=()):
-        self.rig = rig
+    def __init__(self, rig, body=BODY, headers=(), count=1):
+        super().__init__(rig.listener.server.server_port)
         self.body = body
         self.client = rig.client()
-        sock = self.client.sock
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
+        self.client.sock.close()
+        self.client.sock = self.sock
         for index in range(count):
-            answer = answer_with(body, f"r{index}", answer_headers)
-            rig.upstreams[0].faults.script.append(answer)
+            rig.upstreams[0].faults.script.append(answer_with(body, f"r{index}"))
             self.client.send(f"/read/{index}", request_id=f"r{index}", headers=headers)
             eventually(lambda: not rig.upstreams[0].faults.script)
+        eventually(lambda: len(rig.listener.connections) == 1)
         self.connection = next(iter(rig.listener.connections))
 
     def wait_until_written(self):
@@ -54,15 +53,6 @@
         for index in range(count):
             self.client.send("/read/on", request_id=f"on{index}", body=body)
 
-    def read(self, pause_s=0.02, on_progress=lambda received: None):
-        """Return the number of bytes up to the end of the connection."""
-        received = 0
-        while data := self.client.sock.recv(RECEIVE_BYTES):
-            received += len(data)
-            on_progress(received)
-            gevent.sleep(pause_s)
-        return received
-
     def assert_whole(self, received, count=1):
         # Beside the bodies there are heads only.
         assert len(self.body) * count < received < (len(self.body) + 500) * count
@@ -79,7 +69,7 @@
         gevent.spawn_later(send_on_s, reader.send_on, count, body)
         finish = gevent.spawn(rig.listener.finish, 10_000)
         reader.assert_whole(reader.read(0.04))
-        reader.client.sock.close()
+        reader.sock.close()
         assert finish.get()
         assert len(rig.ran) == 1
 
@@ -91,7 +81,7 @@
         gevent.spawn_later(0.2, reader.send_on)
         finish = gevent.spawn(rig.listener.finish, 10_000)
         reader.assert_whole(reader.read(), count=3)
-        reader.client.sock.close()
+        reader.sock.close()
         assert finish.get()
 
 
@@ -203,7 +193,7 @@
         eventually(lambda: not rig.listener.connections)
         assert rig.listener.unread_closes.counts == {"idle": 1}
         assert rig.connections.answer_memory.held_bytes == 0
-        reader.client.sock.close()
+        reader.sock.close()
 
 
 def test_a_caller_that_sends_no_more_reads_its_answer_whole():
@@ -211,7 +201,7 @@
     with Rig(count=1) as rig:
         reader = Reader(rig, LONG_BODY)
         eventually(lambda: reader.connection.is_writing)
-        reader.client.sock.shutdown(socket.SHUT_WR)
+        reader.sock.shutdown(socket.SHUT_WR)
         reader.assert_whole(reader.read(0))
 
 
--- a/tests/bilberry_router/forward/test_answers.py
+++ b/tests/bilberry_router/forward/test_answers.py
@@ -188,15 +188,15 @@
         assert rig.upstreams[0].accepted == 4
 
 
-def test_unnamed_answer_on_a_reused_connection_is_dropped():
-    def names_first(upstream, sock):
-        while (request := upstream.read_request(sock)) is not None:
-            line = next(x for x in request[0].split(b"\r\n") if b"X-Request-Id" in x)
-            named = line + b"\r\n" if len(upstream.requests) == 1 else b""
-            sock.sendall(
-                b"HTTP/1.1 200 OK\r\n" + named + b"Content-Length: 2\r\n\r\nok"
-            )
+def names_first(upstream, sock):
+    """Name only the first request in its answer."""
+    while (request := upstream.read_request(sock)) is not None:
+        line = next(x for x in request[0].split(b"\r\n") if b"X-Request-Id" in x)
+        named = line + b"\r\n" if len(upstream.requests) == 1 else b""
+        sock.sendall(b"HTTP/1.1 200 OK\r\n" + named + b"Content-Length: 2\r\n\r\nok")
 
+
+def test_unnamed_answer_on_a_reused_connection_is_dropped():
     with ForwarderFixture(names_first) as rig:
         assert rig.ask("POST", body=b"x").status == 200
         gevent.sleep(0.015)
@@ -205,14 +205,6 @@
 
 
 def test_connection_of_a_dropped_answer_is_not_reused():
-    def names_first(upstream, sock):
-        while (request := upstream.read_request(sock)) is not None:
-            line = next(x for x in request[0].split(b"\r\n") if b"X-Request-Id" in x)
-            named = line + b"\r\n" if len(upstream.requests) == 1 else b""
-            sock.sendall(
-                b"HTTP/1.1 200 OK\r\n" + named + b"Content-Length: 2\r\n\r\nok"
-            )
-
     with ForwarderFixture(names_first) as rig:
         assert rig.ask("POST", body=b"x").status == 200
         gevent.sleep((DEFAULT_MIN_IDLE_MS + 2) / 1_000)
--- a/tests/bilberry_router/http/test_unread_responses.py
+++ b/tests/bilberry_router/http/test_unread_responses.py
@@ -1,18 +1,16 @@
 """No end of a connection cuts a response that its caller still reads."""
 
-import socket
 import time
 
 import gevent
 import pytest
-from gevent import socket as gevent_socket
 
 from bilberry_router.http.limits import Limits
 
+from ..slow_reader import SlowReader
 from .common import listening
 
 BODY = b"f" * 540_000
-RECEIVE_BYTES = 16_384
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 GET_LAST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 50000\r\n\r\n" + b"x" * 50_000
@@ -43,16 +41,11 @@
         return [b"half"]
 
 
-class Reader:
-    """Receive slowly on a small buffer."""
+class Reader(SlowReader):
+    """Ask for a response, and wait until it was written."""
 
     def __init__(self, server, request):
-        self.server = server
-        self.last = b""
-        self.sock = gevent_socket.socket()
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
-        self.sock.settimeout(5)
-        self.sock.connect(("127.0.0.1", server.server_port))
+        super().__init__(server.server_port)
         self.sock.sendall(request)
         with gevent.Timeout(5):
             while not any(
@@ -61,15 +54,6 @@
             ):
                 gevent.sleep(0.005)
 
-    def read(self, pause_s=0.03):
-        """Return how many bytes arrive up to the end of the connection."""
-        received = 0
-        while data := self.sock.recv(RECEIVE_BYTES):
-            received += len(data)
-            self.last = data
-            gevent.sleep(pause_s)
-        return received
-
     def send_on(self, requests):
         for request in requests:
             self.sock.sendall(request)
--- a/tests/bilberry_router/test_planning.py
+++ b/tests/bilberry_router/test_planning.py
@@ -101,8 +101,8 @@
     assert fleet.published == []
 
 
-def test_no_plan_is_made_from_a_partial_plan(planning, fleet, clock):
-    whole = Plan(
+def plan_of_two(clock):
+    return Plan(
         epoch=1,
         version=4,
         config_version=1,
@@ -112,6 +112,10 @@
         capacities=[100.0],
         nodes={"vm-1": NodeQuota("mtl", [10.0]), "vm-2": NodeQuota("mtl", [85.0])},
     )
+
+
+def test_no_plan_is_made_from_a_partial_plan(planning, fleet, clock):
+    whole = plan_of_two(clock)
     planning.receive_plan(record(whole.for_node("vm-1")))
     planning.run_round()
     assert fleet.published == []
@@ -123,18 +127,7 @@
 
 
 def test_the_quota_of_a_vm_that_is_gone_is_given_to_others(planning, fleet, clock):
-    lost = {"vm-1": NodeQuota("mtl", [10.0]), "vm-2": NodeQuota("mtl", [85.0])}
-    plan = Plan(
-        epoch=1,
-        version=4,
-        config_version=1,
-        made_at_ms=clock.wall_ms(),
-        regions=["mtl"],
-        resources=["suivi@mtl"],
-        capacities=[100.0],
-        nodes=lost,
-    )
-    planning.receive_plan(record(plan))
+    planning.receive_plan(record(plan_of_two(clock)))
     fleet.gone = ["vm-2"]
     planning.run_round()
     (made,) = fleet.published
