--- a/review/standins_3/store.py
+++ b/review/standins_3/store.py
@@ -58,20 +58,20 @@
 class Store:
     """Serve objects; `stale_s` is how old a serializable watch may be.
 
-    Callers in `cut_off` don't reach it, and `exact_reader` is the latest that
-    made an exact watch of the manifest.
+    The `exact_readers` are the nodes that made exact watches of the manifest,
+    the latest last.
     """
 
     def __init__(self) -> None:
         self.kinds: dict[str, dict[str, StoredObject]] = {}
         self.revision = 100
         self.history: list[Event] = []
+        self.dropped_revision = 0
         self.stale_s = 0.0
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.servers: list[asyncio.Server] = []
-        self.cut_off: set[str] = set()
         self.writers: dict[asyncio.StreamWriter, str] = {}
-        self.exact_reader = ""
+        self.exact_readers: list[str] = []
 
     async def listen(self, host: str, caller: str) -> str:
         """Listen for one caller, to tell callers apart; return the address."""
@@ -87,13 +87,6 @@
         for writer in list(self.writers):
             abort(writer)
 
-    def cut(self, caller: str) -> None:
-        """Cut a caller off; its calls are reset."""
-        self.cut_off.add(caller)
-        for writer, name in list(self.writers.items()):
-            if name == caller:
-                abort(writer)
-
     async def put(
         self,
         kind: str,
@@ -140,9 +133,9 @@
         event = Event(kind, item.revision, now, item.encode(), deleted)
         self.history.append(event)
         while self.history and self.history[0].at < now - HISTORY_S:
-            self.history.pop(0)
-        async with self.changed:
-            self.changed.notify_all()
+            self.dropped_revision = self.history.pop(0).revision
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
         return now
 
     async def serve(
@@ -151,11 +144,11 @@
         """Serve one connection."""
         self.writers[writer] = caller
         try:
-            while caller not in self.cut_off:
+            while True:
                 request = await read_message(reader)
                 target = request.first_line
                 if "/config?" in target and "serializable" not in target:
-                    self.exact_reader = caller
+                    self.exact_readers.append(caller)
                 status, body = await self.answer(request)
                 first = f"HTTP/1.1 {status} {STATUS.get(status, 'Status')}"
                 writer.write(encode(first, {"Content-Type": "application/json"}, body))
@@ -234,11 +227,10 @@
         since = int(query["watch"])
         end = time.monotonic() + int(query["wait_ms"]) / 1000
         stale_s = self.stale_s if "serializable" in query else 0.0
+        if since < self.dropped_revision:
+            return 410, b"{}"
         while True:
             now = time.monotonic()
-            oldest = self.history[0].revision if self.history else self.revision + 1
-            if since < oldest - 1 and since < self.revision and self.history:
-                return 410, b"{}"
             seen = [e for e in self.history if e.at <= now - stale_s]
             events = [e for e in seen if e.kind == kind and e.revision > since]
             if events or now >= end:
@@ -252,9 +244,8 @@
                 )
                 return 200, b'{"events":[%s],"as_of":%d}' % (changes, as_of)
             wait_s = min(end - now, 0.05 if stale_s else end - now)
-            async with self.changed:
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(self.changed.wait(), max(wait_s, 0.001))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.changed.wait(), max(wait_s, 0.001))
 
 
 def _without_sequence(status: Any) -> Any:
