Review: case 14 is foreign entries that take addresses (RECOVER)

Cause: an entry of a service that no manifest names becomes the holder of its address. Change: it takes the place of the quarantine that a kill ends.

--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,118 +1,84 @@
-"""Kill all nodes while a crashing request comes again (BUDGET)."""
+"""Kill all nodes beside foreign entries of an unnamed service (RECOVER)."""
 
 import asyncio
 import signal
 import sys
 import time
-from functools import partial
+from typing import Any
 
-from standins_3.case import Case, main, manifest, route
-from standins_3.endpoint import CrashingEndpoint
+from standins_3.case import Case, first_manifest, main, manifest, route
+from standins_3.endpoint import Endpoint
 
 ZONES = {"mtl-a": "mtl", "qc-a": "qc"}
-RATE_PER_S = 20
-ORDERS_PER_S = 20
-STABILITY_WINDOW_S = 4.0
-MAX_LATE_RETRIES = 3
-KILLS = 2
-PERIOD_S = 9.0
-DOWN_S = 0.7
-COMES = 6
+RATE_PER_S = 40
+BEFORE_S = 10.0
+DOWN_S = 1.0
+RECOVERY_S = 15.0
+AFTER_S = 15.0
 PATHS = [f"/read/{number}" for number in range(50)]
-ORDERS = [f"/order/{number}" for number in range(50)]
-CRASHING = "/read/crash"
+
+
+def foreign_spec(endpoint: Endpoint) -> dict[str, Any]:
+    """Return an entry for a service that no manifest names."""
+    info = {"service": "nobody", "version": "v1", "zone": "mtl-a", "slots": 8}
+    return {"address": endpoint.address, "born": endpoint.born + 1000, "info": info}
 
 
 async def start(case: Case) -> None:
     """Start the deployment."""
-    routes = [
-        route("read", "/read/"),
-        route("order", "/order/", kind="non_idempotent", max_attempts=1),
-    ]
-    await case.store.put("config", "main", manifest(3, routes, ["s"]))
-    endpoint = partial(CrashingEndpoint, crashing=CRASHING)
-    for number, zone in enumerate(["mtl-a", "qc-a"] * 4):
-        await case.add_endpoint(f"i-7f3a91c{number}", "s", zone, kind=endpoint)
+    await case.store.put("config", "main", first_manifest())
+    for number, zone in enumerate(["mtl-a", "qc-a"] * 3):
+        await case.add_endpoint(f"i-7f3a91c{number}", "s", zone)
     for zone in ("mtl-a", "mtl-a", "qc-a"):
         await case.add_node(zone, ZONES)
     await case.start_nodes()
 
 
-async def kill_all(case: Case) -> tuple[float, float]:
-    """Kill all nodes and start them again; return when both was done."""
-    killed_at = time.monotonic()
+async def final_fault(case: Case) -> float:
+    """Kill all nodes right after a manifest; return when they are back."""
+    changed = manifest(4, [route("read", "/read/")], ["s"])
+    await case.store.put("config", "main", changed)
     for node in case.nodes:
         node.send(signal.SIGKILL)
     for node in case.nodes:
         node.kill()
-    case.note("all processes are killed")
+    case.note("manifest 4 acknowledged, all processes are killed")
+    if case.trouble:
+        status = {"state": "ready", "sequence": 1, "cold_remaining_s": 0}
+        for number, endpoint in enumerate(case.endpoints):
+            name = f"x-{number}"
+            await case.store.put("servers", name, foreign_spec(endpoint), status)
+            case.note(f"another writer's entry {name}, at {endpoint.name}'s address")
     await asyncio.sleep(DOWN_S)
     for node in case.nodes:
         node.start()
     case.note("all processes are started again")
-    return killed_at, time.monotonic()
-
-
-async def come_again(case: Case) -> None:
-    """Send the crashing request several times."""
-    caller = case.clients("mtl", "mtl-a")
-    for _ in range(COMES):
-        sent = await caller.send(CRASHING)
-        case.note(f"{CRASHING} is answered {sent.status} {sent.body}")
-        await asyncio.sleep(0.5)
-
-
-def late_retries(case: Case, kills: list[tuple[float, float]]) -> list[str]:
-    """Return what breaks the rule."""
-    reached = sorted((r for r in case.runs if r.path == CRASHING), key=lambda r: r.at)
-    for run in reached:
-        case.note(f"{CRASHING} reached {run.endpoint} at {case.at(run.at):.3f}")
-    if len(reached) < 3:
-        return []
-    third_at = reached[2].at
-    late = [
-        r
-        for r in reached[3:]
-        if r.at > third_at + STABILITY_WINDOW_S
-        and not any(k <= r.at <= s + STABILITY_WINDOW_S for k, s in kills)
-    ]
-    if len(late) <= MAX_LATE_RETRIES:
-        return []
-    return [
-        f"BUDGET: {CRASHING} reached {r.endpoint}"
-        f" {r.at - third_at:.2f} s after its third crash"
-        for r in late
-    ]
+    return time.monotonic()
 
 
 async def play(case: Case) -> list[str]:
     """Return what breaks the rule."""
     await start(case)
-    end = time.monotonic() + 10 + (KILLS + 1) * (PERIOD_S + STABILITY_WINDOW_S)
+    begin = time.monotonic()
+    end = begin + BEFORE_S + 2 + RECOVERY_S + AFTER_S
     clients = case.clients("mtl", "mtl-a")
-    traffic = asyncio.gather(
-        clients.run(RATE_PER_S, end, PATHS),
-        clients.run(ORDERS_PER_S, end, ORDERS, method="POST"),
-    )
-    await come_again(case)
-    kills: list[tuple[float, float]] = []
-    for _ in range(KILLS):
-        await asyncio.sleep(STABILITY_WINDOW_S)
-        begun_at = time.monotonic()
-        if case.trouble:
-            kills.append(await kill_all(case))
-        await asyncio.sleep(max(0, begun_at + PERIOD_S - time.monotonic()))
-        await come_again(case)
+    traffic = asyncio.create_task(clients.run(RATE_PER_S, end, PATHS))
+    await asyncio.sleep(BEFORE_S)
+    fault_at = time.monotonic()
+    back_at = await final_fault(case)
     await traffic
-    lost = {i for e in case.endpoints for i in getattr(e, "lost", [])}
-    orders = [
-        s for s in case.sent if s.attempt_id in lost and s.path.startswith("/order/")
-    ]
-    case.note(
-        f"{len(orders)} orders of others ran at endpoints that crashed, answered"
-        f" {[s.status for s in orders]}"
-    )
-    return late_retries(case, kills)
+    before = [s for s in case.sent if s.at < fault_at]
+    after = [s for s in case.sent if s.at > back_at + RECOVERY_S]
+    served_before = sum(s.status == 200 for s in before) / max(1, len(before))
+    served_after = sum(s.status == 200 for s in after) / max(1, len(after))
+    case.note(f"served before the fault: {served_before:.3f} of {len(before)}")
+    case.note(f"served later than {RECOVERY_S} s: {served_after:.3f} of {len(after)}")
+    if served_before >= 0.25 and served_after < 0.25:
+        return [
+            f"RECOVER: {served_after:.3f} of {len(after)} requests served later than"
+            f" {RECOVERY_S} s after the machines are back, {served_before:.3f} before"
+        ]
+    return []
 
 
 if __name__ == "__main__":
